--- /dev/null
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in targets, load, randomised runs and measurements.
+ */
+package org.redwingramp.bench;
--- /dev/null
+++ b/redwingramp-cli/src/main/java/org/redwingramp/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The redwingramp command.
+ */
+package org.redwingramp.cli;
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The replicated log: events in, effects out.
+ */
+package org.redwingramp.core.consensus;
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Value types shared by all parts of redwingramp.
+ */
+package org.redwingramp.core.model;
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decides which target owns which shard.
+ */
+package org.redwingramp.core.placement;
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The redwingrampd daemon.
+ */
+package org.redwingramp.daemon;
--- /dev/null
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Parses and checks TOML records and settings.
+ */
+package org.redwingramp.records;
--- /dev/null
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Durable state of a control replica.
+ */
+package org.redwingramp.storage;
--- /dev/null
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Transport between daemons.
+ */
+package org.redwingramp.wire;
