Fix the interfaces of the decision library

Cause: several people write the parts at once and need one contract. Ruled out: letting each part define its own messages; the storage, transport, soak and daemon share them. Conclusion: the parts can be written side by side.

--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/ControlImage.java
@@ -0,0 +1,46 @@
+package org.redwingramp.core.control;
+
+import java.util.List;
+
+import org.redwingramp.core.model.RecordKind;
+
+/**
+ * The control state as plain data, for snapshots. Immutable and thread safe.
+ *
+ * @param clusterId the control group's identifier
+ * @param viewVersion the view version
+ * @param revision the last configuration revision
+ * @param lastFence the highest fence given so far
+ * @param clockMillis the state's clock in milliseconds
+ * @param records the records in force
+ * @param tombstones the withdrawn records
+ * @param entries the entry instances
+ * @param targets the targets
+ * @param shards the shards
+ * @param ledger the requests that run at most once
+ */
+public record ControlImage(String clusterId, long viewVersion, long revision, long lastFence, long clockMillis,
+		List<RecordState> records, List<Tombstone> tombstones, List<EntryState> entries, List<TargetState> targets,
+		List<ShardState> shards, List<LedgerRecord> ledger) {
+
+	public ControlImage {
+		records = List.copyOf(records);
+		tombstones = List.copyOf(tombstones);
+		entries = List.copyOf(entries);
+		targets = List.copyOf(targets);
+		shards = List.copyOf(shards);
+		ledger = List.copyOf(ledger);
+	}
+
+	/**
+	 * A withdrawn record.
+	 *
+	 * @param kind the kind
+	 * @param name the name
+	 * @param version the version that was withdrawn
+	 * @param viewVersion the view version of the withdrawal
+	 */
+	public record Tombstone(RecordKind kind, String name, long version, long viewVersion) {
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/GrantReply.java
@@ -0,0 +1,12 @@
+package org.redwingramp.core.control;
+
+/**
+ * A target's answer to a grant. Immutable and thread safe.
+ *
+ * @param clockMillis the target's monotonic clock in milliseconds
+ * @param bootId the target's run
+ * @param epoch the highest gate epoch that the target has seen
+ * @param inFlight the number of requests that the target says it runs
+ */
+public record GrantReply(long clockMillis, String bootId, long epoch, int inFlight) {
+}
