Add the replicated control state

ControlImage gains ledgerFloors: without it a longer retention after an expiry would let a dropped request run a second time.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/ControlImage.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/ControlImage.java
@@ -1,6 +1,7 @@
 package org.redwingramp.core.control;
 
 import java.util.List;
+import java.util.Map;
 
 import org.redwingramp.core.model.RecordKind;
 
@@ -18,10 +19,12 @@
  * @param targets the targets
  * @param shards the shards
  * @param ledger the requests that run at most once
+ * @param ledgerFloors by service, the time of issue in milliseconds up to which requests
+ * that the ledger doesn't hold may have been dropped from it
  */
 public record ControlImage(String clusterId, long viewVersion, long revision, long lastFence, long clockMillis,
 		List<RecordState> records, List<Tombstone> tombstones, List<EntryState> entries, List<TargetState> targets,
-		List<ShardState> shards, List<LedgerRecord> ledger) {
+		List<ShardState> shards, List<LedgerRecord> ledger, Map<String, Long> ledgerFloors) {
 
 	public ControlImage {
 		records = List.copyOf(records);
@@ -30,6 +33,7 @@
 		targets = List.copyOf(targets);
 		shards = List.copyOf(shards);
 		ledger = List.copyOf(ledger);
+		ledgerFloors = Map.copyOf(ledgerFloors);
 	}
 
 	/**
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/RecordRules.java
@@ -0,0 +1,189 @@
+package org.redwingramp.core.control.internal;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.redwingramp.core.control.Command;
+import org.redwingramp.core.control.CommandResult;
+import org.redwingramp.core.control.CommandResult.Refused;
+import org.redwingramp.core.control.ControlImage.Tombstone;
+import org.redwingramp.core.control.RecordState;
+import org.redwingramp.core.control.ViewUpdate.Removed;
+import org.redwingramp.core.model.OperatorRecord;
+import org.redwingramp.core.model.RecordBody;
+import org.redwingramp.core.model.RecordKind;
+
+/**
+ * The rules for versions of records and what records of each kind bring about. Not thread
+ * safe.
+ *
+ * <p>
+ * Invariant: a name has a record in force or a tombstone, never both.
+ */
+final class RecordRules {
+
+	/** Bounds the memory of withdrawn names at about 30 MB. */
+	static final int MAX_TOMBSTONES = 200_000;
+
+	private final Map<RecordKey, Tombstone> tombstones = new TreeMap<>();
+
+	private final ShardRules shards;
+
+	private long revision;
+
+	RecordRules(ShardRules shards) {
+		this.shards = shards;
+	}
+
+	CommandResult submit(OperatorRecord record, ViewChanges changes) {
+		RecordKey key = RecordKey.of(record);
+		Optional<RecordState> current = changes.base().record(key.kind(), key.name());
+		if (current.isPresent() && current.get().record().version() == record.version()) {
+			return repeated(key, record, current.get());
+		}
+		Optional<Refused> refusal = versionRefusal(key, record.version(), current)
+			.or(() -> contentRefusal(record, current, changes.base()));
+		if (refusal.isPresent()) {
+			return refusal.get();
+		}
+		this.tombstones.remove(key);
+		this.revision++;
+		changes.put(new RecordState(record, this.revision, changes.version()));
+		if (current.isEmpty() && record.body() instanceof RecordBody.Service service) {
+			this.shards.create(service, changes);
+		}
+		return new CommandResult.RecordAccepted(this.revision, changes.version(), false);
+	}
+
+	private CommandResult repeated(RecordKey key, OperatorRecord record, RecordState current) {
+		if (!current.record().digest().equals(record.digest())) {
+			return Refusals.versionConflict(key, record.version(), current.record().digest());
+		}
+		return new CommandResult.RecordAccepted(current.revision(), current.viewVersion(), true);
+	}
+
+	private Optional<Refused> versionRefusal(RecordKey key, long version, Optional<RecordState> current) {
+		if (current.isPresent()) {
+			long inForce = current.get().record().version();
+			if (version < inForce) {
+				return Optional.of(Refusals.versionOutdated(key, version, inForce));
+			}
+			return (version > inForce + 1) ? Optional.of(Refusals.versionGap(key, version, inForce + 1))
+					: Optional.empty();
+		}
+		Tombstone tombstone = this.tombstones.get(key);
+		if (tombstone != null && version <= tombstone.version()) {
+			return Optional.of(Refusals.withdrawn(key, version, tombstone.version()));
+		}
+		return (version < 1) ? Optional.of(Refusals.versionOutdated(key, version, 1)) : Optional.empty();
+	}
+
+	private Optional<Refused> contentRefusal(OperatorRecord record, Optional<RecordState> current, ImmutableView view) {
+		if (record.body() instanceof RecordBody.Service service) {
+			return serviceRefusal(service, current);
+		}
+		return (record.body() instanceof RecordBody.Pin pin) ? pinRefusal(pin, view) : Optional.empty();
+	}
+
+	private Optional<Refused> serviceRefusal(RecordBody.Service service, Optional<RecordState> current) {
+		boolean keyed = service.keySource().keyed();
+		if (keyed && (service.slices() < 1 || service.slices() > ShardRules.MAX_SLICES)) {
+			return Optional.of(Refusals.inconsistent("service " + service.name() + " has " + service.slices()
+					+ " slices; expected 1 to " + ShardRules.MAX_SLICES));
+		}
+		if (current.isPresent()) {
+			RecordBody.Service former = (RecordBody.Service) current.get().record().body();
+			if (former.keySource().keyed() != keyed || (keyed && former.slices() != service.slices())) {
+				return Optional.of(Refusals.inconsistent("service " + service.name()
+						+ " can't change its number of slices or whether it has keys; withdraw it first"));
+			}
+		}
+		return Optional.empty();
+	}
+
+	private Optional<Refused> pinRefusal(RecordBody.Pin pin, ImmutableView view) {
+		boolean keyed = view.service(pin.service()).filter((service) -> service.keySource().keyed()).isPresent();
+		if (!keyed) {
+			return Optional.of(Refusals.inconsistent(
+					"pin " + pin.name() + " refers to " + pin.service() + ", which isn't a service with keys"));
+		}
+		return pins(view).stream()
+			.filter((other) -> !other.name().equals(pin.name()) && other.service().equals(pin.service()))
+			.flatMap((other) -> other.keys().stream().filter(pin.keys()::contains))
+			.findFirst()
+			.map((key) -> Refusals
+				.inconsistent("pin " + pin.name() + " names key " + key + ", which another pin fixes"));
+	}
+
+	private static Collection<RecordBody.Pin> pins(ImmutableView view) {
+		return view.records()
+			.stream()
+			.map((state) -> state.record().body())
+			.filter(RecordBody.Pin.class::isInstance)
+			.map(RecordBody.Pin.class::cast)
+			.toList();
+	}
+
+	CommandResult withdraw(Command.WithdrawRecord command, ViewChanges changes) {
+		RecordKey key = new RecordKey(command.kind(), command.name());
+		Optional<RecordState> current = changes.base().record(key.kind(), key.name());
+		if (current.isEmpty()) {
+			return withdrawAgain(key, command.version());
+		}
+		long inForce = current.get().record().version();
+		if (command.version() < inForce) {
+			return Refusals.versionOutdated(key, command.version(), inForce);
+		}
+		if (command.version() > inForce) {
+			return Refusals.versionGap(key, command.version(), inForce);
+		}
+		if (key.kind() == RecordKind.SERVICE
+				&& pins(changes.base()).stream().anyMatch((pin) -> pin.service().equals(key.name()))) {
+			return Refusals.inconsistent(key + " has pins; withdraw them first");
+		}
+		if (this.tombstones.size() >= MAX_TOMBSTONES) {
+			return Refusals.limitReached("withdrawn records", MAX_TOMBSTONES);
+		}
+		return remove(key, inForce, changes);
+	}
+
+	private CommandResult withdrawAgain(RecordKey key, long version) {
+		Tombstone tombstone = this.tombstones.get(key);
+		if (tombstone == null) {
+			return Refusals.notFound(key.toString());
+		}
+		return (tombstone.version() == version) ? new CommandResult.Applied(tombstone.viewVersion())
+				: Refusals.withdrawn(key, version, tombstone.version());
+	}
+
+	private CommandResult remove(RecordKey key, long version, ViewChanges changes) {
+		this.revision++;
+		this.tombstones.put(key, new Tombstone(key.kind(), key.name(), version, changes.version()));
+		changes.remove(new Removed.RemovedRecord(key.kind(), key.name()));
+		if (key.kind() == RecordKind.SERVICE) {
+			changes.base().shards(key.name()).forEach((shard) -> changes.remove(new Removed.RemovedShard(shard.id())));
+			changes.base()
+				.targets(key.name())
+				.forEach((target) -> changes.remove(new Removed.RemovedTarget(target.spec().name())));
+		}
+		return new CommandResult.Applied(changes.version());
+	}
+
+	long revision() {
+		return this.revision;
+	}
+
+	Collection<Tombstone> tombstones() {
+		return this.tombstones.values();
+	}
+
+	void restore(long restoredRevision, Collection<Tombstone> restoredTombstones) {
+		this.revision = restoredRevision;
+		this.tombstones.clear();
+		restoredTombstones
+			.forEach((tombstone) -> this.tombstones.put(new RecordKey(tombstone.kind(), tombstone.name()), tombstone));
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/Refusals.java
@@ -0,0 +1,55 @@
+package org.redwingramp.core.control.internal;
+
+import org.redwingramp.core.control.CommandResult.Refused;
+import org.redwingramp.core.control.RefusalCode;
+
+/**
+ * Creates the refusals of commands. Stateless and thread safe.
+ */
+final class Refusals {
+
+	private Refusals() {
+	}
+
+	static Refused versionConflict(RecordKey key, long version, String digest) {
+		return new Refused(RefusalCode.VERSION_CONFLICT, key + " version " + version
+				+ " was accepted with different content, digest " + digest + "; submit it as version " + (version + 1));
+	}
+
+	static Refused versionGap(RecordKey key, long version, long expected) {
+		return new Refused(RefusalCode.VERSION_GAP,
+				key + " version " + version + " isn't the next one; expected version " + expected);
+	}
+
+	static Refused versionOutdated(RecordKey key, long version, long current) {
+		return new Refused(RefusalCode.VERSION_OUTDATED,
+				key + " version " + version + " is outdated; version " + current + " is in force");
+	}
+
+	static Refused withdrawn(RecordKey key, long version, long tombstone) {
+		return new Refused(RefusalCode.WITHDRAWN, key + " version " + version + " was withdrawn with version "
+				+ tombstone + "; create it again with version " + (tombstone + 1) + " or higher");
+	}
+
+	static Refused notFound(String what) {
+		return new Refused(RefusalCode.NOT_FOUND, what + " doesn't exist");
+	}
+
+	static Refused inconsistent(String detail) {
+		return new Refused(RefusalCode.INCONSISTENT, detail);
+	}
+
+	static Refused nameTaken(String name, String address) {
+		return new Refused(RefusalCode.NAME_TAKEN,
+				"target " + name + " is live at " + address + "; drain it there or choose another name");
+	}
+
+	static Refused stale(String detail) {
+		return new Refused(RefusalCode.STALE, detail);
+	}
+
+	static Refused limitReached(String what, long limit) {
+		return new Refused(RefusalCode.LIMIT_REACHED, "the limit of " + limit + " " + what + " is reached");
+	}
+
+}
