--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/package-info.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Durable state of a control replica.
+ * Durable storage of a control replica: its log, snapshots, term and vote.
  */
 package org.redwingramp.storage;
