--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/GateSettings.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/GateSettings.java
@@ -22,4 +22,12 @@
 		return new GateSettings(slots, queueLimit, true, true);
 	}
 
+	/**
+	 * Creates the settings of the simplest baseline: every request starts at once.
+	 * @return the settings
+	 */
+	public static GateSettings unlimited() {
+		return new GateSettings(Integer.MAX_VALUE, Integer.MAX_VALUE, false, false);
+	}
+
 }
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/StragglerDetectors.java
@@ -0,0 +1,30 @@
+package org.redwingramp.core.routing;
+
+import org.redwingramp.core.routing.internal.MedianStragglerDetector;
+
+/**
+ * Creates straggler detectors. Stateless and thread safe.
+ */
+public final class StragglerDetectors {
+
+	private StragglerDetectors() {
+	}
+
+	/**
+	 * Creates a detector with the settings in use.
+	 * @return the detector
+	 */
+	public static StragglerDetector create() {
+		return create(StragglerSettings.DEFAULT);
+	}
+
+	/**
+	 * Creates a detector.
+	 * @param settings the settings
+	 * @return the detector
+	 */
+	public static StragglerDetector create(StragglerSettings settings) {
+		return new MedianStragglerDetector(settings);
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/AnswerWindow.java
@@ -0,0 +1,51 @@
+package org.redwingramp.core.routing.internal;
+
+/**
+ * The latest answers of one target. Not thread safe.
+ */
+final class AnswerWindow {
+
+	private final double[] nanos;
+
+	private final boolean[] failed;
+
+	private int added;
+
+	AnswerWindow(int length) {
+		this.nanos = new double[length];
+		this.failed = new boolean[length];
+	}
+
+	void add(double answerNanos, boolean answerFailed) {
+		int index = this.added % this.nanos.length;
+		this.nanos[index] = answerNanos;
+		this.failed[index] = answerFailed;
+		this.added = (this.added == 2 * this.nanos.length - 1) ? this.nanos.length : this.added + 1;
+	}
+
+	void clear() {
+		this.added = 0;
+	}
+
+	boolean full() {
+		return this.added >= this.nanos.length;
+	}
+
+	double mean() {
+		int count = Math.min(this.added, this.nanos.length);
+		double sum = 0;
+		for (int i = 0; i < count; i++) {
+			sum += this.nanos[i];
+		}
+		return (count == 0) ? 0 : sum / count;
+	}
+
+	int failures() {
+		int count = 0;
+		for (int i = 0; i < Math.min(this.added, this.nanos.length); i++) {
+			count += (this.failed[i]) ? 1 : 0;
+		}
+		return count;
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
@@ -0,0 +1,181 @@
+package org.redwingramp.core.routing.internal;
+
+/**
+ * The limit of one target: it starts at 1, grows while answers come at normal speed, and
+ * returns to 1 when the target turns cold again. Not thread safe.
+ *
+ * <p>
+ * Invariant: the limit is between 1 and the slots.
+ */
+final class Ramp {
+
+	/** Answers per judgement: fewer would let single slow answers decide. */
+	static final int WINDOW = 8;
+
+	/** Mean over normal service time up to which the limit grows. */
+	private static final double GROW_RATIO = 1.5;
+
+	/** Mean over normal service time from which a warm target counts as cold. */
+	private static final double COLD_RATIO = 3;
+
+	/**
+	 * One answer counts for at most this many normal ones, so that at least four slow
+	 * ones of a window restart the ramp.
+	 */
+	private static final double CLAMP_RATIO = 6;
+
+	/** Failures within a window that restart the ramp. */
+	private static final int COLD_FAILURES = 3;
+
+	/** A window that is this much faster than the one before shows a warming target. */
+	private static final double WARMING_RATIO = 0.9;
+
+	/** Windows of equal speed after which that speed counts as the normal one. */
+	private static final int STEADY_WINDOWS = 6;
+
+	private static final int LONGEST_PAUSE = 8;
+
+	private static final double NORMAL_RISE = 0.01;
+
+	private static final double NORMAL_FALL = 0.05;
+
+	private final AnswerWindow window = new AnswerWindow(WINDOW);
+
+	private final int slots;
+
+	private final boolean enabled;
+
+	private double normal;
+
+	private double previousMean;
+
+	private int limit;
+
+	private int steadyWindows;
+
+	private int pause;
+
+	private int pausedWindows;
+
+	private boolean warm;
+
+	private boolean suspected;
+
+	Ramp(int slots, boolean enabled, long normalNanos) {
+		this.slots = slots;
+		this.enabled = enabled;
+		this.normal = normalNanos;
+		restart();
+	}
+
+	int limit() {
+		return (this.suspected) ? (this.limit + 1) / 2 : this.limit;
+	}
+
+	boolean warm() {
+		return this.warm;
+	}
+
+	void restart() {
+		this.window.clear();
+		this.previousMean = 0;
+		this.steadyWindows = 0;
+		this.pause = 0;
+		this.pausedWindows = 0;
+		this.suspected = false;
+		this.warm = !this.enabled || this.slots == 1;
+		this.limit = (this.enabled) ? 1 : this.slots;
+	}
+
+	/**
+	 * Counts an answer or a failure.
+	 * @param nanos the service time, or how long the request was waited for
+	 * @param failed whether the target failed or didn't answer
+	 */
+	void add(long nanos, boolean failed) {
+		if (!this.enabled) {
+			return;
+		}
+		double clamped = (this.normal > 0) ? Math.min(nanos, CLAMP_RATIO * this.normal) : nanos;
+		this.window.add(clamped, failed);
+		if (this.warm) {
+			watch(clamped, failed);
+		}
+		else if (failed) {
+			shrink();
+		}
+		else if (this.window.full()) {
+			judge(this.window.mean());
+			this.window.clear();
+		}
+	}
+
+	private void watch(double nanos, boolean failed) {
+		boolean slow = this.normal > 0 && nanos > COLD_RATIO * this.normal;
+		boolean cold = this.window.failures() >= COLD_FAILURES
+				|| (this.window.full() && this.window.mean() > COLD_RATIO * this.normal);
+		if (cold && this.normal > 0) {
+			restart();
+			return;
+		}
+		this.suspected = slow || failed;
+		if (!failed) {
+			learn(nanos);
+		}
+	}
+
+	private void judge(double mean) {
+		boolean warming = this.previousMean > 0 && mean < WARMING_RATIO * this.previousMean;
+		this.previousMean = mean;
+		if (this.normal == 0) {
+			this.normal = mean;
+		}
+		if (mean > GROW_RATIO * this.normal) {
+			slowWindow(mean, warming);
+		}
+		else {
+			this.steadyWindows = 0;
+			learn(mean);
+			grow(warming);
+		}
+	}
+
+	private void slowWindow(double mean, boolean warming) {
+		if (this.limit > 1) {
+			shrink();
+			return;
+		}
+		this.steadyWindows = (warming) ? 0 : this.steadyWindows + 1;
+		if (this.steadyWindows >= STEADY_WINDOWS) {
+			this.normal = mean;
+			this.steadyWindows = 0;
+		}
+	}
+
+	private void grow(boolean warming) {
+		if (warming || this.pausedWindows++ < this.pause) {
+			return;
+		}
+		this.pausedWindows = 0;
+		this.warm = this.limit >= this.slots;
+		this.limit = Math.min(this.limit + 1, this.slots);
+	}
+
+	/**
+	 * Returns to 1 after growth that the target couldn't handle, and waits longer before
+	 * the next growth.
+	 */
+	private void shrink() {
+		this.pause = Math.min(LONGEST_PAUSE, Math.max(1, 2 * this.pause));
+		this.pausedWindows = 0;
+		this.limit = 1;
+		this.previousMean = 0;
+		this.window.clear();
+	}
+
+	private void learn(double nanos) {
+		double step = (nanos < this.normal) ? NORMAL_FALL : NORMAL_RISE;
+		this.normal = (this.normal == 0) ? nanos : this.normal + step * (nanos - this.normal);
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/TargetSpeed.java
@@ -0,0 +1,62 @@
+package org.redwingramp.core.routing.internal;
+
+import org.redwingramp.core.routing.StragglerSettings;
+
+/**
+ * The smoothed service time of one target and its ejection. Not thread safe.
+ */
+final class TargetSpeed {
+
+	private static final double SMOOTHING = 0.2;
+
+	private final StragglerSettings settings;
+
+	private double mean;
+
+	private int answers;
+
+	private long ejectedUntil = Long.MIN_VALUE;
+
+	private long ejection;
+
+	TargetSpeed(StragglerSettings settings) {
+		this.settings = settings;
+	}
+
+	void add(long nanos) {
+		this.answers++;
+		// The first answers are averaged, so that none of them weighs more than others.
+		this.mean += (nanos - this.mean) * Math.max(SMOOTHING, 1.0 / this.answers);
+	}
+
+	/**
+	 * Adds the time that a request was waited for in vain, which says only that the
+	 * service time is longer.
+	 * @param nanos the time in nanoseconds
+	 */
+	void addAtLeast(long nanos) {
+		add((long) Math.max(nanos, this.mean));
+	}
+
+	boolean judged() {
+		return this.answers >= this.settings.minimumAnswers();
+	}
+
+	double mean() {
+		return this.mean;
+	}
+
+	boolean ejected(long now) {
+		return now < this.ejectedUntil;
+	}
+
+	void eject(long now) {
+		boolean again = this.ejection > 0 && now - this.ejectedUntil < this.ejection;
+		this.ejection = (again) ? Math.min(2 * this.ejection, this.settings.longestEjectionNanos())
+				: this.settings.firstEjectionNanos();
+		this.ejectedUntil = now + this.ejection;
+		// Judged afresh afterwards: the former mean would eject the target at once.
+		this.answers = 0;
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Implementations of the routing decisions.
+ */
+package org.redwingramp.core.routing.internal;
