--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/MedianStragglerDetector.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/MedianStragglerDetector.java
@@ -20,6 +20,13 @@
 	/** At most one of this many targets is ejected. */
 	private static final int EJECTED_SHARE = 3;
 
+	/**
+	 * One answer counts for at most this many median ones. With the smoothing, a single
+	 * answer then lifts a normal target's mean to at most 1.8 times the median, which is
+	 * below the threshold.
+	 */
+	private static final double CLAMP_RATIO = 5;
+
 	private final Map<String, TargetSpeed> speeds = new TreeMap<>();
 
 	private final StragglerSettings settings;
@@ -34,13 +41,13 @@
 
 	@Override
 	public void answered(String target, long serviceNanos, long now) {
-		speed(target).add(serviceNanos);
+		speed(target).add(clamped(serviceNanos));
 		judge(target, now);
 	}
 
 	@Override
 	public void unanswered(String target, long waitedNanos, long now) {
-		speed(target).addAtLeast(waitedNanos);
+		speed(target).addAtLeast(clamped(waitedNanos));
 		judge(target, now);
 	}
 
@@ -85,6 +92,11 @@
 		}
 	}
 
+	private long clamped(long nanos) {
+		double median = median();
+		return (median > 0) ? (long) Math.min(nanos, CLAMP_RATIO * median) : nanos;
+	}
+
 	private boolean slow(TargetSpeed speed, double median) {
 		return speed.judged() && median > 0 && speed.mean() > this.settings.threshold() * median;
 	}
