Add the replicated log

Cause: the control role needs a log that survives the loss of a disk and of a second replica right after the repair, and a lease under which the leader's memory may be read.

--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Proposals.java
@@ -0,0 +1,63 @@
+package org.redwingramp.core.consensus.internal;
+
+import java.util.TreeMap;
+
+import org.redwingramp.core.consensus.LogEntry;
+import org.redwingramp.core.consensus.ProposalResult;
+import org.redwingramp.core.consensus.ProposalResult.Status;
+import org.redwingramp.core.consensus.ReplicaEvent.Propose;
+
+/**
+ * The leader's proposals that are appended and not committed. Not thread safe.
+ */
+final class Proposals {
+
+	/**
+	 * Bound on the bytes of entries not yet committed. Beyond it, a lagging majority
+	 * would let the leader's memory grow without limit.
+	 */
+	static final long MAX_UNCOMMITTED_BYTES = 4L * 1024 * 1024;
+
+	/** Largest command, well below the frame limit of 5 MiB between daemons. */
+	static final int MAX_COMMAND_BYTES = 1024 * 1024;
+
+	private final Context context;
+
+	private final TreeMap<Long, Long> openByIndex = new TreeMap<>();
+
+	Proposals(Context context) {
+		this.context = context;
+	}
+
+	void refuse(Propose proposal) {
+		result(proposal.proposalId(), Status.NOT_LEADER, 0);
+	}
+
+	// Returns whether the command was appended.
+	boolean append(Propose proposal) {
+		long size = proposal.command().length;
+		if (size > MAX_COMMAND_BYTES || this.context.log().uncommittedBytes() + size > MAX_UNCOMMITTED_BYTES) {
+			result(proposal.proposalId(), Status.OVERLOADED, 0);
+			return false;
+		}
+		this.context.append(LogEntry.Kind.COMMAND, proposal.clockMillis(), proposal.command());
+		long index = this.context.log().lastIndex();
+		this.openByIndex.put(index, proposal.proposalId());
+		result(proposal.proposalId(), Status.APPENDED, index);
+		return true;
+	}
+
+	void committed() {
+		this.openByIndex.headMap(this.context.log().commitIndex(), true).clear();
+	}
+
+	void lostLeadership() {
+		this.openByIndex.forEach((index, proposalId) -> result(proposalId, Status.LOST_LEADERSHIP, index));
+		this.openByIndex.clear();
+	}
+
+	private void result(long proposalId, Status status, long index) {
+		this.context.effects().result(new ProposalResult(proposalId, status, index));
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Election, replication, membership and snapshot transfer of the replicated log.
+ */
+package org.redwingramp.core.consensus.internal;
--- /dev/null
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/consensus/ReplicationTests.java
@@ -0,0 +1,161 @@
+package org.redwingramp.core.consensus;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against lost, reordered or prematurely committed entries and unbounded memory.
+ */
+class ReplicationTests {
+
+	@Test
+	void shouldCommitOnAllReplicasInOrder() {
+		TestGroup group = TestGroup.formed(1, "a", "b", "c");
+		IntStream.range(0, 500).forEach((i) -> group.propose(group.leader(), "x" + i));
+		group.run(500);
+		List<String> expected = IntStream.range(0, 500).mapToObj((i) -> "x" + i).toList();
+		assertThat(group.nodes.values()).allSatisfy((node) -> assertThat(node.applied).isEqualTo(expected));
+	}
+
+	@Test
+	void shouldCountItsOwnEntryOnlyOnceSynced() {
+		TestGroup group = TestGroup.formed(2, "a", "b", "c");
+		TestNode leader = group.leader();
+		TestNode stopped = group.others(leader).get(0);
+		group.crash(stopped);
+		Replica replica = leader.replica;
+		long index = replica.commitIndex();
+		replica.handle(new ReplicaEvent.Propose(77, 0, new byte[1]), group.now);
+		TestNode follower = group.others(leader).get(1);
+		replica.handle(new ReplicaEvent.Received(follower.id(),
+				new PeerMessage.AppendReply(replica.term(), group.now, true, index + 1)), group.now);
+		assertThat(replica.commitIndex()).isEqualTo(index);
+		ReplicaEffects effects = replica.handle(new ReplicaEvent.Persisted(Long.MAX_VALUE), group.now);
+		assertThat(effects.committed()).hasSize(1);
+	}
+
+	@Test
+	void shouldAcknowledgeOnlyWhatIsSynced() {
+		TestGroup group = TestGroup.formed(3, "a", "b", "c");
+		TestNode leader = group.leader();
+		group.others(leader).forEach((node) -> node.syncing = false);
+		group.propose(leader, "x");
+		group.run(100);
+		assertThat(leader.applied).isEmpty();
+		group.others(leader).forEach((node) -> node.syncing = true);
+		group.run(100);
+		assertThat(leader.applied).containsExactly("x");
+	}
+
+	@Test
+	void shouldSurviveReorderedDuplicatedAndLostMessages() {
+		for (long seed = 0; seed < 20; seed++) {
+			TestGroup group = TestGroup.formed(seed, "a", "b", "c");
+			Random random = new Random(seed);
+			group.copies = 2;
+			group.delay = (message) -> (1 + random.nextInt(60)) * TestGroup.MS;
+			group.loses = (message) -> random.nextInt(5) == 0;
+			for (int i = 0; i < 200; i++) {
+				int number = i;
+				group.leaders().forEach((node) -> group.propose(node, "x" + number));
+				group.run(10);
+			}
+			group.copies = 1;
+			group.delay = (message) -> TestGroup.MS;
+			group.loses = (message) -> false;
+			group.run(3000);
+			List<String> applied = group.leader().applied;
+			assertThat(applied).doesNotHaveDuplicates().hasSizeGreaterThan(20);
+			assertThat(group.nodes.values()).allSatisfy((node) -> assertThat(node.applied).isEqualTo(applied));
+		}
+	}
+
+	@Test
+	void shouldKeepCommittedEntriesAndDropOthersAfterAPartition() {
+		TestGroup group = TestGroup.formed(4, "a", "b", "c");
+		TestNode former = group.leader();
+		group.propose(former, "kept");
+		group.run(100);
+		group.isolate(former);
+		group.propose(former, "lost");
+		group.until("new leader", (all) -> all.leaders().stream().anyMatch((node) -> node != former));
+		group.propose(group.leader(), "new");
+		group.run(600);
+		group.heal();
+		group.run(1000);
+		assertThat(group.nodes.values()).allSatisfy((node) -> assertThat(node.applied).containsExactly("kept", "new"));
+		assertThat(former.results).extracting(ProposalResult::status)
+			.containsExactly(ProposalResult.Status.APPENDED, ProposalResult.Status.APPENDED,
+					ProposalResult.Status.LOST_LEADERSHIP);
+	}
+
+	@Test
+	void shouldRefuseProposalsBeyondTheBoundAndOnFollowers() {
+		TestGroup group = TestGroup.formed(5, "a", "b", "c");
+		TestNode leader = group.leader();
+		group.isolate(leader);
+		String large = "y".repeat(100_000);
+		IntStream.range(0, 100).forEach((i) -> group.propose(leader, large));
+		assertThat(leader.results).filteredOn((result) -> result.status() == ProposalResult.Status.OVERLOADED)
+			.hasSizeBetween(55, 65);
+		TestNode follower = group.others(leader).get(0);
+		group.propose(follower, "x");
+		assertThat(follower.results).last()
+			.extracting(ProposalResult::status)
+			.isEqualTo(ProposalResult.Status.NOT_LEADER);
+	}
+
+	@Test
+	void shouldBoundTheSizeOfMessages() {
+		TestGroup group = TestGroup.formed(6, "a", "b", "c");
+		TestNode leader = group.leader();
+		TestNode lagging = group.others(leader).get(0);
+		group.isolate(lagging);
+		IntStream.range(0, 200).forEach((i) -> {
+			group.propose(leader, "y".repeat(50_000) + i);
+			group.run(5);
+		});
+		group.heal();
+		group.until("lagging replica caught up", (all) -> lagging.applied.size() == 200);
+		assertThat(group.sent).map(Outbound::message)
+			.filteredOn(PeerMessage.AppendRequest.class::isInstance)
+			.allSatisfy((message) -> assertThat(((PeerMessage.AppendRequest) message).entries()
+				.stream()
+				.mapToInt((entry) -> entry.payload().length)
+				.sum()).isLessThanOrEqualTo(256 * 1024));
+	}
+
+	@Test
+	void shouldNeverStampADecreasingClock() {
+		TestGroup group = TestGroup.formed(7, "a", "b", "c");
+		TestNode leader = group.leader();
+		for (long clock : new long[] { 1000, 500, 2000, 0 }) {
+			leader.handle(new ReplicaEvent.Propose(clock, clock, new byte[0]), group.now);
+		}
+		group.run(100);
+		group.crash(leader);
+		group.until("new leader", (all) -> all.leaders().stream().anyMatch(all::reads));
+		assertThat(group.leader().delivered).extracting(LogEntry::clockMillis)
+			.isSorted()
+			.contains(1000L, 2000L)
+			.doesNotContain(500L)
+			.endsWith(2000L);
+	}
+
+	@Test
+	void shouldKeepTheTermWhenACrashLostTheHardStateAfterTheEntries() {
+		ReplicaId id = new ReplicaId("a", 1);
+		LogEntry entry = new LogEntry(1, 7, LogEntry.Kind.NO_OP, 0, new byte[0]);
+		Replica replica = Replicas.create(
+				new StoredState(id, new HardState(5, Optional.of(id)), Optional.empty(), List.of(entry)),
+				List.of("a", "b", "c"), ConsensusTiming.DEFAULT, new Random(1));
+		assertThat(replica.term()).isEqualTo(7);
+	}
+
+}
