Parse records and settings with all findings at once

Cause: operators control redwingramp only by records, and the daemon starts from settings; both need whole-file checks with places.

Change: RecordParser (schemas 1 and 2 of service, domain, pin), SettingsParser with cross-field checks and secrets that no finding or toString shows, example records and settings. A route that an earlier route hides is refused, since a payment behind a broad idempotent route would be retried. A misspelled required field is one finding, not two.

Conclusion: the parsers' public types are ready for the daemon.

--- /dev/null
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/RecordParser.java
@@ -0,0 +1,74 @@
+package org.redwingramp.records;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+
+import org.redwingramp.core.model.OperatorRecord;
+import org.redwingramp.core.model.RecordBody;
+import org.redwingramp.records.internal.FindingCollector;
+import org.redwingramp.records.internal.RecordReader;
+import org.redwingramp.records.internal.TomlDocument;
+
+/**
+ * Parses operators' records. One TOML file holds one record: {@code schema},
+ * {@code kind}, {@code name} and {@code version}, then the tables of the kind. All
+ * mistakes of a file are reported together. Stateless and thread safe.
+ */
+public final class RecordParser {
+
+	/** The largest size of a record in bytes. */
+	public static final int MAX_BYTES = 64 * 1024;
+
+	private RecordParser() {
+	}
+
+	/**
+	 * Parses one record.
+	 * @param fileName the name that findings carry
+	 * @param text the TOML text in UTF-8
+	 * @return the record, or the findings
+	 */
+	public static RecordParseResult parse(String fileName, byte[] text) {
+		FindingCollector findings = new FindingCollector(fileName);
+		Optional<OperatorRecord> record = TomlDocument.parse(text, MAX_BYTES, true, findings)
+			.map((document) -> read(document, text, findings))
+			.filter((parsed) -> findings.isEmpty());
+		return new RecordParseResult(record, findings.sorted());
+	}
+
+	/**
+	 * Returns the digest that tells equal content from different content.
+	 * @param text the text of a record
+	 * @return the SHA-256 of the text in lower-case hexadecimal
+	 */
+	public static String digest(byte[] text) {
+		try {
+			return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("The Java platform lacks SHA-256, which every platform must have", ex);
+		}
+	}
+
+	/**
+	 * Returns the schema versions that are accepted.
+	 * @return the schema versions in ascending order
+	 */
+	public static List<Integer> schemas() {
+		return RecordReader.SCHEMAS;
+	}
+
+	private static OperatorRecord read(TomlDocument document, byte[] text, FindingCollector findings) {
+		RecordReader reader = new RecordReader(document.reader(findings), findings);
+		Optional<RecordBody> body = reader.body();
+		return body
+			.map((content) -> new OperatorRecord(reader.schema(), reader.name(), reader.version(), content,
+					digest(text), new String(text, StandardCharsets.UTF_8)))
+			.orElse(null);
+	}
+
+}
--- /dev/null
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/SettingsParseResult.java
@@ -0,0 +1,19 @@
+package org.redwingramp.records;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The result of parsing settings. Immutable and thread safe. The settings are present
+ * exactly if there is no finding.
+ *
+ * @param settings the settings
+ * @param findings all mistakes, ordered by place
+ */
+public record SettingsParseResult(Optional<Settings> settings, List<Finding> findings) {
+
+	public SettingsParseResult {
+		findings = List.copyOf(findings);
+	}
+
+}
