--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/ControlView.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/ControlView.java
@@ -5,6 +5,7 @@
 
 import org.redwingramp.core.model.RecordBody;
 import org.redwingramp.core.model.RecordKind;
+import org.redwingramp.core.model.ShardId;
 
 /**
  * An accepted state of records, entry instances, targets and shards. Implementations are
@@ -94,6 +95,13 @@
 	 */
 	Optional<ShardState> shard(RecordBody.Service service, String key);
 
+	/**
+	 * Finds a shard by its identifier.
+	 * @param id the identifier
+	 * @return the shard
+	 */
+	Optional<ShardState> shard(ShardId id);
+
 	/**
 	 * Returns the shards that a target owns, in any phase.
 	 * @param target the target's name
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/EntryAgent.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/EntryAgent.java
@@ -85,4 +85,29 @@
 	 */
 	boolean lost(String target, long now);
 
+	/**
+	 * Returns whether the gate of a target is to be handed over. From then on nothing new
+	 * may be sent to the target; when nothing is in flight, the gate reports it in
+	 * {@link GateReports#handedOver()}.
+	 * @param target the target's name
+	 * @return whether the leader asked for it under the present gate epoch
+	 */
+	boolean handOver(String target);
+
+	/**
+	 * Reports that nothing is in flight for a shard that is being released, so that it
+	 * drops out of the next grant. The agent reports the shard as released once the
+	 * target has acknowledged such a grant. Ignored unless the view shows the shard as
+	 * being released with this fence.
+	 *
+	 * <p>
+	 * A request counts for the shard that its key belongs to by the view that shows the
+	 * release, whatever shard it was routed by, and a request whose
+	 * {@link Command.BeginRequest} is pending counts as in flight. Otherwise a request
+	 * for a key that was split out of its slice could run after the key has moved.
+	 * @param shard the shard
+	 * @param fence its fence
+	 */
+	void drained(ShardId shard, long fence);
+
 }
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/GateReports.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/GateReports.java
@@ -9,7 +9,8 @@
  *
  * @param leaving whether the instance is stopping
  * @param handedOver the targets for which nothing is in flight and nothing will be sent
- * @param released the shards without requests in flight whose grants are withdrawn
+ * @param released the shards being released without requests in flight, as in
+ * {@link EntryAgent#drained}; the agent withdraws their grants before it reports them
  * @param shardLoads the requests per second by shard
  * @param hotKeys the keys that stand out
  * @param slowTargets the targets found slow, with the ratio to the service's median
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ImmutableView.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ImmutableView.java
@@ -190,6 +190,11 @@
 		return (found != null) ? Optional.ofNullable(found.ofKey(key)) : Optional.empty();
 	}
 
+	@Override
+	public Optional<ShardState> shard(ShardId id) {
+		return Optional.ofNullable(shardState(id));
+	}
+
 	@Override
 	public Collection<ShardState> shardsOf(String target) {
 		TargetState state = this.targets.find(target);
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ServiceShards.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ServiceShards.java
@@ -1,6 +1,7 @@
 package org.redwingramp.core.control.internal;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -10,7 +11,6 @@
 import java.util.stream.Stream;
 
 import org.redwingramp.core.control.ShardState;
-import org.redwingramp.core.control.ViewUpdate.Removed;
 import org.redwingramp.core.model.KeyHash;
 import org.redwingramp.core.model.ShardId;
 
@@ -64,7 +64,7 @@
 		while (length > 0 && slices[length - 1] == null) {
 			length--;
 		}
-		return (length == slices.length) ? slices : java.util.Arrays.copyOf(slices, length);
+		return (length == slices.length) ? slices : Arrays.copyOf(slices, length);
 	}
 
 	ShardState find(ShardId id) {
@@ -114,8 +114,4 @@
 		return List.copyOf(index.getOrDefault(target, List.of()));
 	}
 
-	static ShardId removedId(Removed removed) {
-		return (removed instanceof Removed.RemovedShard shard) ? shard.id() : null;
-	}
-
 }
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ShardPlanner.java
@@ -0,0 +1,158 @@
+package org.redwingramp.core.control.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import org.redwingramp.core.control.Command;
+import org.redwingramp.core.control.Command.FencedShard;
+import org.redwingramp.core.control.Command.ShardAssignment;
+import org.redwingramp.core.control.ControlView;
+import org.redwingramp.core.control.ShardPhase;
+import org.redwingramp.core.control.ShardState;
+import org.redwingramp.core.control.TargetState;
+import org.redwingramp.core.model.RecordBody;
+import org.redwingramp.core.model.ShardId;
+import org.redwingramp.core.placement.PlacementPolicy;
+import org.redwingramp.core.placement.PlacementPolicy.Move;
+import org.redwingramp.core.placement.PlacementPolicy.PlacedShard;
+import org.redwingramp.core.placement.PlacementPolicy.Reason;
+import org.redwingramp.core.placement.PlacementPolicy.TargetCapacity;
+
+/**
+ * Plans the ownership of one service's shards. Not thread safe.
+ *
+ * <p>
+ * Invariants: a shard of a target that takes no shards is released whether or not another
+ * target can take it, since that target must get no new work; moves that only improve the
+ * balance stay within the churn budget.
+ */
+final class ShardPlanner {
+
+	/** Added to each load, so that idle shards spread evenly. */
+	private static final double BASE_LOAD = 1;
+
+	private static final long REBALANCE_NANOS = 1_000_000_000L;
+
+	/** The churn budget per second as a part of the service's shards. */
+	private static final int CHURN_DIVISOR = 64;
+
+	private final PlacementPolicy policy;
+
+	private final LoadBook loads;
+
+	private final TargetWeights weights;
+
+	private final Map<ShardId, String> planned = new HashMap<>();
+
+	private long nextRebalance;
+
+	ShardPlanner(PlacementPolicy policy, LoadBook loads, long startedAt) {
+		this.policy = policy;
+		this.loads = loads;
+		this.weights = new TargetWeights(loads, startedAt);
+		this.nextRebalance = startedAt + REBALANCE_NANOS;
+	}
+
+	void propose(RecordBody.Service service, Map<ShardId, String> wanted, ControlView view, Proposals proposals,
+			long now) {
+		Collection<ShardState> shards = view.shards(service.name());
+		Map<String, TargetState> targets = view.targets(service.name())
+			.stream()
+			.collect(Collectors.toMap((target) -> target.spec().name(), (target) -> target));
+		this.weights.observe(view, targets.values(), now);
+		evacuate(shards, targets, view, proposals);
+		boolean rebalance = now >= this.nextRebalance;
+		boolean unowned = shards.stream().anyMatch((shard) -> shard.phase() == ShardPhase.UNOWNED);
+		if (!rebalance && !unowned) {
+			return;
+		}
+		int budget = rebalance ? Math.max(1, shards.size() / CHURN_DIVISOR) : 0;
+		if (rebalance) {
+			this.nextRebalance = now + REBALANCE_NANOS;
+			forget(shards);
+		}
+		List<TargetCapacity> capacities = targets.values()
+			.stream()
+			.filter((target) -> !target.gate().isEmpty() || !view.shardsOf(target.spec().name()).isEmpty())
+			.map((target) -> this.weights.capacity(target, service, view, now))
+			.toList();
+		List<Move> moves = this.policy.plan(placed(shards, wanted, now), capacities, budget);
+		assign(shards, moves, targets, view, proposals);
+		release(moves, view, proposals);
+	}
+
+	private void evacuate(Collection<ShardState> shards, Map<String, TargetState> targets, ControlView view,
+			Proposals proposals) {
+		List<FencedShard> leaving = shards.stream()
+			.filter((shard) -> shard.phase() == ShardPhase.OWNED
+					&& !TargetWeights.takesShards(targets.get(shard.owner()), view))
+			.map(ShardPlanner::fenced)
+			.toList();
+		proposals.addBatch(leaving, (shard) -> shard, Command.ReleaseShards::new);
+	}
+
+	private static FencedShard fenced(ShardState shard) {
+		return new FencedShard(shard.id(), shard.fence());
+	}
+
+	private void forget(Collection<ShardState> shards) {
+		Map<ShardId, ShardState> moving = shards.stream()
+			.filter((shard) -> shard.phase() != ShardPhase.OWNED)
+			.collect(Collectors.toMap(ShardState::id, (shard) -> shard));
+		this.planned.keySet().retainAll(moving.keySet());
+	}
+
+	private List<PlacedShard> placed(Collection<ShardState> shards, Map<ShardId, String> wanted, long now) {
+		List<PlacedShard> placed = new ArrayList<>();
+		for (ShardState shard : shards) {
+			String owner = (shard.phase() == ShardPhase.OWNED) ? shard.owner()
+					: this.planned.getOrDefault(shard.id(), "");
+			if (shard.phase() != ShardPhase.RELEASING || !owner.isEmpty()) {
+				double load = BASE_LOAD + this.loads.load(shard.id(), now);
+				placed.add(new PlacedShard(shard.id(), owner, load, wanted.getOrDefault(shard.id(), "")));
+			}
+		}
+		return placed;
+	}
+
+	private void assign(Collection<ShardState> shards, List<Move> moves, Map<String, TargetState> targets,
+			ControlView view, Proposals proposals) {
+		moves.stream()
+			.filter((move) -> move.reason() == Reason.UNOWNED || move.reason() == Reason.EVACUATE
+					|| move.reason() == Reason.PIN)
+			.forEach((move) -> this.planned.put(move.shard(), move.destination()));
+		List<ShardAssignment> assignments = shards.stream()
+			.filter((shard) -> shard.phase() == ShardPhase.UNOWNED)
+			.flatMap((shard) -> assignment(shard, targets, view).stream())
+			.toList();
+		proposals.addBatch(assignments, (item) -> List.of("assign", item.shard(), item.expectedFence()),
+				Command.AssignShards::new);
+	}
+
+	private Optional<ShardAssignment> assignment(ShardState shard, Map<String, TargetState> targets, ControlView view) {
+		return Optional.ofNullable(this.planned.get(shard.id()))
+			.map(targets::get)
+			.filter((target) -> TargetWeights.takesShards(target, view) && !target.gate().isEmpty())
+			.map((target) -> new ShardAssignment(shard.id(), shard.fence(), target.spec().name(),
+					target.spec().bootId()));
+	}
+
+	private void release(List<Move> moves, ControlView view, Proposals proposals) {
+		List<FencedShard> released = new ArrayList<>();
+		for (Move move : moves) {
+			view.shard(move.shard())
+				.filter((shard) -> shard.phase() == ShardPhase.OWNED && shard.owner().equals(move.source()))
+				.ifPresent((shard) -> {
+					this.planned.put(move.shard(), move.destination());
+					released.add(fenced(shard));
+				});
+		}
+		proposals.addBatch(released, (shard) -> shard, Command.ReleaseShards::new);
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/placement/internal/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Implementation of the placement policies.
+ */
+package org.redwingramp.core.placement.internal;
