Add the measurement of tail latency, overload and cold starts

Cause: the routing decisions had no figures.

The model drives the real gates, choosers, detectors, hedges and budgets in virtual time.

--- /dev/null
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/Measure.java
@@ -0,0 +1,73 @@
+package org.redwingramp.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+import org.redwingramp.bench.measure.Deployment;
+import org.redwingramp.bench.measure.LoadMeasures;
+import org.redwingramp.bench.measure.Result;
+
+/**
+ * Measures the routing and placement decisions in virtual time and prints one JSON line
+ * for each figure. The same seed gives the same output.
+ */
+public final class Measure {
+
+	private static final String DEFAULT_SEED = "20261204";
+
+	private static final int QUICK_SECONDS = 6;
+
+	private static final int SECONDS = 30;
+
+	/** Leaves most of the machine to others. */
+	private static final int THREADS = 4;
+
+	private static final Options OPTIONS = new Options().addOption(null, "quick", false, "short runs")
+		.addOption(null, "seed", true, "the seed of every run");
+
+	private Measure() {
+	}
+
+	/**
+	 * Runs all measures.
+	 * @param args {@code --quick} for short runs, {@code --seed N} for another seed
+	 * @throws ParseException if an argument is unknown or lacks its value
+	 * @throws InterruptedException if the run is interrupted
+	 * @throws ExecutionException if a case fails
+	 */
+	public static void main(String[] args) throws ParseException, InterruptedException, ExecutionException {
+		CommandLine line = new DefaultParser().parse(OPTIONS, args);
+		long seed = Long.parseLong(line.getOptionValue("seed", DEFAULT_SEED));
+		int seconds = (line.hasOption("quick")) ? QUICK_SECONDS : SECONDS;
+		LoadMeasures load = new LoadMeasures(seed, seconds);
+		List<Callable<List<Result>>> cases = Deployment.ALL.stream().map(load::cases).flatMap(List::stream).toList();
+		run(cases).forEach((result) -> System.out.println(result.json()));
+	}
+
+	// The cases share nothing, so their order of execution doesn't change the results.
+	private static List<Result> run(List<Callable<List<Result>>> cases)
+			throws InterruptedException, ExecutionException {
+		ExecutorService executor = Executors.newFixedThreadPool(THREADS);
+		try {
+			List<Result> results = new ArrayList<>();
+			for (Future<List<Result>> future : executor.invokeAll(cases)) {
+				results.addAll(future.get());
+			}
+			return results;
+		}
+		finally {
+			executor.shutdown();
+		}
+	}
+
+}
