Measure with gates that don't know their target's normal speed

Cause: a new gate has no normal service time unless another gate hands it over, so the harder case is the one to measure.

--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ServiceModel.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ServiceModel.java
@@ -151,8 +151,8 @@
 		String name = Integer.toString(this.targets.size());
 		this.targets.add(target);
 		this.gates.add(new ModelGate(this.time, this.deployment, name,
-				TargetGates.create(this.safeguards.gate(this.deployment.slots()), normalNanos(), 0), target,
-				this.detector, this::ended));
+				TargetGates.create(this.safeguards.gate(this.deployment.slots()), 0), target, this.detector,
+				this::ended));
 	}
 
 	/**
