Learn the normal service time without a bias

Cause: the estimate fell faster than it rose, so it settled below the mean and ordinary windows counted as slow; the ramp then stopped below the slots. Change: equal weights in both directions. Ruled out: a wider growth ratio, which would also pass answers of a cold target.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
@@ -35,9 +35,13 @@
 
 	private static final int LONGEST_PAUSE = 8;
 
-	private static final double NORMAL_RISE = 0.01;
+	/**
+	 * Weight of one answer of a warm target. A larger one would follow a target that
+	 * turns four times slower before the window shows it as cold.
+	 */
+	private static final double ANSWER_WEIGHT = 0.01;
 
-	private static final double NORMAL_FALL = 0.05;
+	private static final double WINDOW_WEIGHT = 0.2;
 
 	private final AnswerWindow window = new AnswerWindow(WINDOW);
 
@@ -120,7 +124,7 @@
 		}
 		this.suspected = slow || failed;
 		if (!failed) {
-			learn(nanos);
+			learn(nanos, ANSWER_WEIGHT);
 		}
 	}
 
@@ -135,7 +139,7 @@
 		}
 		else {
 			this.steadyWindows = 0;
-			learn(mean);
+			learn(mean, WINDOW_WEIGHT);
 			grow(warming);
 		}
 	}
@@ -173,9 +177,8 @@
 		this.window.clear();
 	}
 
-	private void learn(double nanos) {
-		double step = (nanos < this.normal) ? NORMAL_FALL : NORMAL_RISE;
-		this.normal = (this.normal == 0) ? nanos : this.normal + step * (nanos - this.normal);
+	private void learn(double nanos, double weight) {
+		this.normal = (this.normal == 0) ? nanos : this.normal + weight * (nanos - this.normal);
 	}
 
 }
