--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ImmutableView.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ImmutableView.java
@@ -26,10 +26,11 @@
  * A view that shares the parts that an update doesn't touch with its predecessor.
  * Immutable and thread safe.
  */
-final class ImmutableView implements ControlView {
+public final class ImmutableView implements ControlView {
 
-	static final ImmutableView INITIAL = new ImmutableView("", 0, new TreeMap<>(), new TreeMap<>(), TargetIndex.NONE,
-			Map.of());
+	/** The view before the first update. */
+	public static final ImmutableView INITIAL = new ImmutableView("", 0, new TreeMap<>(), new TreeMap<>(),
+			TargetIndex.NONE, Map.of());
 
 	private final String clusterId;
 
@@ -58,7 +59,12 @@
 	}
 
 	// Applies an update. A whole view replaces everything.
-	ImmutableView with(ViewUpdate update) {
+	/**
+	 * Returns the view after an update.
+	 * @param update a whole view, or the difference to this view
+	 * @return the view
+	 */
+	public ImmutableView with(ViewUpdate update) {
 		ImmutableView base = update.whole() ? INITIAL : this;
 		return new ImmutableView(update.clusterId(), update.toVersion(), base.recordsWith(update),
 				base.entriesWith(update), base.targets.with(update.targets(), update.removed()),
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/Redwingrampd.java
@@ -0,0 +1,28 @@
+package org.redwingramp.daemon;
+
+import org.redwingramp.daemon.internal.runtime.DaemonMain;
+
+/**
+ * The daemon's entry point. Stateless and thread safe.
+ *
+ * <p>
+ * Exit codes: 0 after a graceful stop, 2 for a wrong command line, 3 for findings in the
+ * settings, 4 if the daemon can't start.
+ */
+public final class Redwingrampd {
+
+	private Redwingrampd() {
+	}
+
+	/**
+	 * Runs the daemon.
+	 * @param args the command line; see {@code --help}
+	 */
+	public static void main(String[] args) {
+		int code = new DaemonMain(System.out, System.err).run(args);
+		if (code != DaemonMain.OK) {
+			Runtime.getRuntime().halt(code);
+		}
+	}
+
+}
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/entry/EntryLoop.java
@@ -0,0 +1,123 @@
+package org.redwingramp.daemon.internal.entry;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.redwingramp.core.control.ControlTiming;
+import org.redwingramp.core.control.EntryHeartbeat;
+import org.redwingramp.daemon.internal.control.ControlCall;
+import org.redwingramp.daemon.internal.control.ControlClient;
+import org.redwingramp.daemon.internal.control.ControlReply;
+import org.redwingramp.daemon.internal.control.ControlUnavailableException;
+import org.redwingramp.daemon.internal.control.ControlUndecidedException;
+import org.redwingramp.daemon.internal.events.Event;
+import org.redwingramp.daemon.internal.events.EventLog;
+import org.redwingramp.daemon.internal.gate.GateKeeper;
+
+/**
+ * The thread of an entry instance's session: heartbeats, gates that follow the view,
+ * grants. {@link #leave} and {@link #stop} are thread safe.
+ */
+public final class EntryLoop implements Runnable {
+
+	private static final long STEP_MILLIS = 5;
+
+	private static final int HEARTBEATS_UNDER_WAY = 4;
+
+	private final EntrySession session;
+
+	private final GateKeeper keeper;
+
+	private final ControlClient control;
+
+	private final ExecutorService calls;
+
+	private final ControlTiming timing;
+
+	private final LongSupplier clock;
+
+	private final Semaphore underWay = new Semaphore(HEARTBEATS_UNDER_WAY);
+
+	private long nextHeartbeat;
+
+	private volatile boolean leaving;
+
+	private volatile boolean running = true;
+
+	public EntryLoop(EntrySession session, GateKeeper keeper, ControlClient control, ExecutorService calls,
+			ControlTiming timing, LongSupplier clock) {
+		this.session = session;
+		this.keeper = keeper;
+		this.control = control;
+		this.calls = calls;
+		this.timing = timing;
+		this.clock = clock;
+	}
+
+	/** Hands the gates over from now on. */
+	public void leave() {
+		this.leaving = true;
+	}
+
+	/** Ends the loop. */
+	public void stop() {
+		this.running = false;
+	}
+
+	@Override
+	public void run() {
+		while (this.running) {
+			try {
+				step();
+				TimeUnit.MILLISECONDS.sleep(STEP_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+			catch (RuntimeException ex) {
+				EventLog.log(Event.DUTY_FAILED, "entry session", ex);
+			}
+		}
+	}
+
+	private void step() {
+		boolean leased = this.session.observe();
+		this.keeper.step(this.session.view(), leased);
+		long now = this.clock.getAsLong();
+		if (now >= this.nextHeartbeat && this.underWay.tryAcquire()) {
+			this.nextHeartbeat = now + this.timing.entryHeartbeatNanos();
+			submit(this.session.heartbeat(this.keeper.reports(this.session.view(), this.leaving)));
+		}
+	}
+
+	private void submit(EntryHeartbeat heartbeat) {
+		try {
+			this.calls.execute(() -> exchange(heartbeat));
+		}
+		catch (RejectedExecutionException ex) {
+			this.underWay.release();
+		}
+	}
+
+	private void exchange(EntryHeartbeat heartbeat) {
+		try {
+			ControlReply reply = this.control.call(new ControlCall.Heartbeat(heartbeat),
+					this.timing.entryHeartbeatNanos() * 2);
+			if (reply instanceof ControlReply.Renewed renewed && this.session.reply(renewed.reply())) {
+				this.keeper.viewChanged();
+			}
+		}
+		catch (ControlUnavailableException | ControlUndecidedException ex) {
+			// The next heartbeat tries again; the leases run out by themselves.
+			return;
+		}
+		finally {
+			this.underWay.release();
+		}
+	}
+
+}
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/events/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Numbered log events.
+ */
+package org.redwingramp.daemon.internal.events;
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateRegistry.java
@@ -0,0 +1,108 @@
+package org.redwingramp.daemon.internal.gate;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+
+import org.redwingramp.core.control.ControlView;
+import org.redwingramp.core.control.TargetState;
+import org.redwingramp.core.model.RecordBody;
+import org.redwingramp.core.routing.GateSettings;
+import org.redwingramp.daemon.internal.events.Event;
+import org.redwingramp.daemon.internal.events.EventLog;
+
+/**
+ * The gates of this instance. Thread safe.
+ *
+ * <p>
+ * Invariant: a gate exists under the gate epoch that the view states; a gate of an
+ * earlier epoch starts nothing any more.
+ */
+public final class GateRegistry {
+
+	private static final int DEFAULT_QUEUE = 64;
+
+	private final String instance;
+
+	private final LongSupplier clock;
+
+	private final Map<String, GateRuntime> gates = new ConcurrentHashMap<>();
+
+	private final Map<String, GateRuntime> retired = new ConcurrentHashMap<>();
+
+	public GateRegistry(String instance, LongSupplier clock) {
+		this.instance = instance;
+		this.clock = clock;
+	}
+
+	Optional<GateRuntime> find(String target, long epoch) {
+		return Optional.ofNullable(this.gates.get(target)).filter((gate) -> gate.epoch() == epoch);
+	}
+
+	Optional<GateRuntime> find(String target) {
+		return Optional.ofNullable(this.gates.get(target));
+	}
+
+	Collection<GateRuntime> all() {
+		return List.copyOf(this.gates.values());
+	}
+
+	// Returns whether a request still runs at a gate that this instance no longer is.
+	boolean retiredIdle(String target) {
+		GateRuntime gate = this.retired.get(target);
+		return gate == null || gate.idle();
+	}
+
+	// Returns the number of requests that hold or wait for a slot.
+	int inFlight() {
+		return this.gates.values()
+			.stream()
+			.mapToInt((gate) -> gate.status().inFlight() + gate.status().waiting())
+			.sum();
+	}
+
+	/**
+	 * Opens and closes gates so that they match a view.
+	 * @param view the view
+	 */
+	synchronized void follow(ControlView view) {
+		Collection<TargetState> targets = view.targetsOfGate(this.instance);
+		this.gates.values()
+			.stream()
+			.filter((gate) -> targets.stream().noneMatch((state) -> matches(gate, state)))
+			.toList()
+			.forEach(this::close);
+		targets.stream()
+			.filter((state) -> state.phase().needsGate())
+			.filter((state) -> !this.gates.containsKey(state.spec().name()))
+			.forEach((state) -> open(state, view));
+	}
+
+	private static boolean matches(GateRuntime gate, TargetState state) {
+		return gate.target().equals(state.spec().name()) && gate.epoch() == state.gateEpoch()
+				&& state.phase().needsGate();
+	}
+
+	private void open(TargetState state, ControlView view) {
+		Optional<RecordBody.Service> service = view.service(state.spec().service());
+		int slots = Math.max(1,
+				service.map((record) -> Math.min(record.slots(), state.spec().slots())).orElse(state.spec().slots()));
+		int queue = service.map(RecordBody.Service::queueLimit).orElse(DEFAULT_QUEUE);
+		GateRuntime gate = new GateRuntime(state.spec().name(), state.gateEpoch(), GateSettings.of(slots, queue),
+				this.clock);
+		this.gates.put(state.spec().name(), gate);
+		EventLog.log(Event.GATE_OPENED, state.spec().name(), state.gateEpoch(), slots);
+	}
+
+	private void close(GateRuntime gate) {
+		this.gates.remove(gate.target(), gate);
+		gate.retire();
+		this.retired.put(gate.target(), gate);
+		this.retired.values().removeIf((old) -> old != gate && old.idle());
+		EventLog.log(Event.GATE_CLOSED, gate.target(), gate.epoch(), "the view names another gate or epoch");
+	}
+
+}
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/TargetCall.java
@@ -0,0 +1,28 @@
+package org.redwingramp.daemon.internal.gate;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+import org.redwingramp.core.model.ShardId;
+import org.redwingramp.daemon.internal.http.HeaderField;
+
+/**
+ * One request to a target. Immutable by convention. Thread safe.
+ *
+ * @param target the target's name
+ * @param address the target's address as {@code ip:port}
+ * @param method the HTTP method
+ * @param path the path with query
+ * @param headers the caller's headers that are passed on
+ * @param body the body
+ * @param requestId the request's identity, which the target echoes
+ * @param shard the request's shard, {@code null} for services without keys
+ * @param fence the shard's fence
+ * @param gateEpoch the target's gate epoch
+ * @param deadline the monotonic time in nanoseconds by which the whole answer must be
+ * there
+ * @param mayWrite asked immediately before the first byte is written
+ */
+record TargetCall(String target, String address, String method, String path, List<HeaderField> headers, byte[] body,
+		String requestId, ShardId shard, long fence, long gateEpoch, long deadline, BooleanSupplier mayWrite) {
+}
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics and their text form.
+ */
+package org.redwingramp.daemon.internal.metrics;
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/RequestClassifier.java
@@ -0,0 +1,114 @@
+package org.redwingramp.daemon.internal.route;
+
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.redwingramp.core.control.ControlView;
+import org.redwingramp.core.model.KeySource;
+import org.redwingramp.core.model.RecordBody;
+import org.redwingramp.core.model.RouteRule;
+import org.redwingramp.daemon.internal.http.Headers;
+
+/**
+ * Finds service, class, key, identity and deadline of a request. Stateless apart from the
+ * clock and thread safe.
+ */
+final class RequestClassifier {
+
+	private static final int MAX_KEY_LENGTH = 512;
+
+	private static final int MAX_IDENTITY_LENGTH = 128;
+
+	private final LongSupplier wallMillis;
+
+	RequestClassifier(LongSupplier wallMillis) {
+		this.wallMillis = wallMillis;
+	}
+
+	RoutedRequest classify(InboundRequest inbound, ControlView view) throws RequestRefusedException {
+		String serviceName = segment(inbound.path(), 0);
+		RecordBody.Service service = view.service(serviceName)
+			.orElseThrow(() -> new RequestRefusedException(Problem.UNKNOWN_SERVICE,
+					"the first path segment \"" + serviceName + "\" names no service"));
+		String servicePath = inbound.path().substring(serviceName.length() + 1);
+		RouteRule rule = service.rule(inbound.method(), servicePath.isEmpty() ? "/" : servicePath);
+		String key = key(inbound, service);
+		String given = inbound.header(Headers.IDEMPOTENCY_KEY).map(RequestClassifier::unquote).orElse("");
+		String identity = given.isEmpty() ? UUID.randomUUID().toString() : given;
+		long issued = given.isEmpty() ? this.wallMillis.getAsLong() : issued(inbound, given, rule);
+		long deadline = inbound.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(deadlineMillis(inbound, service, rule));
+		return new RoutedRequest(inbound, service, rule.requestClass(), key, identity, !given.isEmpty(), issued,
+				deadline);
+	}
+
+	private String key(InboundRequest inbound, RecordBody.Service service) throws RequestRefusedException {
+		KeySource source = service.keySource();
+		String key = switch (source.kind()) {
+			case NONE -> "";
+			case HEADER -> inbound.header(source.header()).orElse("");
+			case PATH -> segment(inbound.path(), source.pathSegment() + 1);
+		};
+		if (source.keyed() && key.isEmpty()) {
+			throw new RequestRefusedException(Problem.NO_KEY,
+					(source.kind() == KeySource.Kind.HEADER) ? "the header " + source.header() + " is missing"
+							: "path segment " + source.pathSegment() + " after the service's name is missing");
+		}
+		if (key.length() > MAX_KEY_LENGTH) {
+			throw new RequestRefusedException(Problem.NO_KEY, "the key is longer than " + MAX_KEY_LENGTH);
+		}
+		return key;
+	}
+
+	private long issued(InboundRequest inbound, String identity, RouteRule rule) throws RequestRefusedException {
+		if (identity.length() > MAX_IDENTITY_LENGTH || !identity.chars().allMatch((c) -> c > ' ' && c < 127)) {
+			throw new RequestRefusedException(Problem.BAD_IDENTITY,
+					"an Idempotency-Key has 1 to " + MAX_IDENTITY_LENGTH + " printable ASCII characters");
+		}
+		OptionalLong fromKey = RequestTimes.issuedMillis(identity);
+		if (fromKey.isPresent()) {
+			return fromKey.getAsLong();
+		}
+		String header = inbound.header(Headers.ISSUED).orElse("");
+		if (header.isEmpty() && !rule.requestClass().recorded()) {
+			return this.wallMillis.getAsLong();
+		}
+		try {
+			return Long.parseLong(header);
+		}
+		catch (NumberFormatException ex) {
+			throw new RequestRefusedException(Problem.BAD_IDENTITY, "the Idempotency-Key is no UUIDv7, so "
+					+ Headers.ISSUED + " must say in milliseconds of the epoch when the request was first issued");
+		}
+	}
+
+	private long deadlineMillis(InboundRequest inbound, RecordBody.Service service, RouteRule rule)
+			throws RequestRefusedException {
+		String header = inbound.header(Headers.DEADLINE).orElse("");
+		if (header.isEmpty()) {
+			return (rule.deadlineMillis() > 0) ? rule.deadlineMillis() : service.defaultDeadlineMillis();
+		}
+		try {
+			long millis = Long.parseLong(header);
+			if (millis > 0) {
+				return Math.min(millis, service.maxDeadlineMillis());
+			}
+		}
+		catch (NumberFormatException ex) {
+			// Refused below like any other value that is no positive number.
+		}
+		throw new RequestRefusedException(Problem.BAD_DEADLINE, Headers.DEADLINE + " is \"" + header + "\"");
+	}
+
+	private static String segment(String path, int index) {
+		String[] segments = path.split("/", index + 3);
+		return (segments.length > index + 1) ? segments[index + 1] : "";
+	}
+
+	private static String unquote(String value) {
+		boolean quoted = value.length() >= 2 && value.startsWith("\"") && value.endsWith("\"");
+		return quoted ? value.substring(1, value.length() - 1) : value;
+	}
+
+}
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Routing of callers' requests.
+ */
+package org.redwingramp.daemon.internal.route;
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/DaemonComponent.java
@@ -0,0 +1,20 @@
+package org.redwingramp.daemon.internal.runtime;
+
+import javax.inject.Singleton;
+
+import dagger.Component;
+
+/**
+ * The wiring of a daemon. Thread safe.
+ */
+@Singleton
+@Component(modules = DaemonModule.class)
+interface DaemonComponent {
+
+	/**
+	 * Returns the daemon, not yet started.
+	 * @return the daemon
+	 */
+	Daemon daemon();
+
+}
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/DaemonMain.java
@@ -0,0 +1,162 @@
+package org.redwingramp.daemon.internal.runtime;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+import org.redwingramp.daemon.internal.control.ControlRole;
+import org.redwingramp.daemon.internal.control.ControlRole.OpenStore;
+import org.redwingramp.records.Finding;
+import org.redwingramp.records.InstanceRole;
+import org.redwingramp.records.Settings;
+import org.redwingramp.records.SettingsParseResult;
+import org.redwingramp.records.SettingsParser;
+import org.redwingramp.storage.StorageException;
+
+/**
+ * Reads the command line and the settings, starts the daemon and stops it on SIGTERM. Not
+ * thread safe; the main thread owns it.
+ */
+public final class DaemonMain {
+
+	/** Exit code after a graceful stop, or if the settings are right. */
+	public static final int OK = 0;
+
+	/** Exit code for a wrong command line. */
+	public static final int USAGE = 2;
+
+	/** Exit code for findings in the settings. */
+	public static final int FINDINGS = 3;
+
+	/** Exit code if the daemon can't start. */
+	public static final int CANNOT_START = 4;
+
+	private static final String VERSION = "redwingrampd 0.1.0";
+
+	private static final long STOP_SECONDS = 60;
+
+	private final PrintStream out;
+
+	private final PrintStream err;
+
+	public DaemonMain(PrintStream out, PrintStream err) {
+		this.out = out;
+		this.err = err;
+	}
+
+	/**
+	 * Runs the daemon until it is told to stop.
+	 * @param args the command line
+	 * @return the exit code
+	 */
+	public int run(String[] args) {
+		try {
+			CommandLine line = new DefaultParser().parse(options(), args);
+			if (line.hasOption("version")) {
+				this.out.println(VERSION);
+				return OK;
+			}
+			if (line.hasOption("help") || !line.hasOption("settings")) {
+				new HelpFormatter().printHelp("redwingrampd --settings FILE [--check-settings]", options());
+				return line.hasOption("help") ? OK : USAGE;
+			}
+			return run(line.getOptionValue("settings"), line.hasOption("check-settings"));
+		}
+		catch (ParseException ex) {
+			this.err.println("redwingrampd: " + ex.getMessage());
+			return USAGE;
+		}
+	}
+
+	private int run(String file, boolean checkOnly) {
+		SettingsParseResult result;
+		try {
+			result = SettingsParser.parse(file, Files.readAllBytes(Path.of(file)));
+		}
+		catch (IOException ex) {
+			this.err.println("redwingrampd: the settings file " + file + " can't be read: " + ex);
+			return FINDINGS;
+		}
+		result.findings().stream().map(Finding::text).forEach(this.err::println);
+		if (result.settings().isEmpty()) {
+			this.err.println(result.findings().size() + " findings");
+			return FINDINGS;
+		}
+		if (checkOnly) {
+			this.out.println(file + ": the settings are right");
+			return OK;
+		}
+		return serve(result.settings().get());
+	}
+
+	private int serve(Settings settings) {
+		try {
+			LogSetup.apply(settings.logging());
+			Daemon daemon = DaggerDaemonComponent.builder()
+				.daemonModule(new DaemonModule(settings, openStore(settings)))
+				.build()
+				.daemon();
+			daemon.start();
+			awaitStop(daemon);
+			return OK;
+		}
+		catch (Exception ex) {
+			this.err.println("redwingrampd: can't run: " + ex);
+			ex.printStackTrace(this.err);
+			return CANNOT_START;
+		}
+	}
+
+	private static Optional<OpenStore> openStore(Settings settings) throws StorageException {
+		if (!settings.has(InstanceRole.CONTROL)) {
+			return Optional.empty();
+		}
+		Path folder = settings.control().dataFolder().orElseThrow();
+		return Optional.of(ControlRole.open(folder, settings.instance().name()));
+	}
+
+	private static void awaitStop(Daemon daemon) throws Exception {
+		CountDownLatch asked = new CountDownLatch(1);
+		CountDownLatch done = new CountDownLatch(1);
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+			asked.countDown();
+			awaitQuietly(done);
+		}, "stop"));
+		asked.await();
+		try {
+			daemon.stop();
+		}
+		finally {
+			done.countDown();
+		}
+	}
+
+	private static void awaitQuietly(CountDownLatch done) {
+		try {
+			done.await(STOP_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static Options options() {
+		return new Options()
+			.addOption(Option.builder().longOpt("settings").hasArg().argName("FILE").desc("the settings in TOML").get())
+			.addOption(Option.builder().longOpt("check-settings").desc("check the settings and exit").get())
+			.addOption(Option.builder().longOpt("version").desc("print the version and exit").get())
+			.addOption(Option.builder().longOpt("help").desc("print this help and exit").get());
+	}
+
+}
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/LogSetup.java
@@ -0,0 +1,52 @@
+package org.redwingramp.daemon.internal.runtime;
+
+import java.io.IOException;
+import java.time.Instant;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.FileHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+import org.redwingramp.records.Settings;
+
+/**
+ * Sets up the log: one line for each event, to standard error or a file. Stateless and
+ * thread safe.
+ */
+final class LogSetup {
+
+	private static final int FILE_BYTES = 64 * 1024 * 1024;
+
+	private static final int FILES = 8;
+
+	private LogSetup() {
+	}
+
+	static void apply(Settings.Logging logging) throws IOException {
+		LogManager.getLogManager().reset();
+		Handler handler = logging.file().isPresent()
+				? new FileHandler(logging.file().get().toString(), FILE_BYTES, FILES, true) : new ConsoleHandler();
+		handler.setFormatter(new LineFormatter());
+		handler.setLevel(Level.ALL);
+		Logger root = Logger.getLogger("");
+		root.addHandler(handler);
+		root.setLevel(Level.WARNING);
+		Logger.getLogger("org.redwingramp").setLevel(logging.level());
+	}
+
+	private static final class LineFormatter extends Formatter {
+
+		@Override
+		public String format(LogRecord record) {
+			String failure = (record.getThrown() != null) ? " " + record.getThrown() : "";
+			return Instant.ofEpochMilli(record.getMillis()) + " " + record.getLevel() + " " + formatMessage(record)
+					+ failure + "\n";
+		}
+
+	}
+
+}
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/WireEventLog.java
@@ -0,0 +1,50 @@
+package org.redwingramp.daemon.internal.runtime;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.redwingramp.daemon.internal.events.Event;
+import org.redwingramp.daemon.internal.events.EventLog;
+import org.redwingramp.wire.WireEvent;
+import org.redwingramp.wire.WireListener;
+
+/**
+ * Logs events of connections between daemons. Thread safe.
+ *
+ * <p>
+ * Invariant: at most one line a second for each type of event, since strangers can cause
+ * events at any rate.
+ */
+final class WireEventLog implements WireListener {
+
+	private static final long MIN_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private final Map<WireEvent.Type, Long> lastLogged = new ConcurrentHashMap<>();
+
+	private final LongSupplier clock;
+
+	WireEventLog(LongSupplier clock) {
+		this.clock = clock;
+	}
+
+	@Override
+	public void happened(WireEvent event) {
+		switch (event.type()) {
+			case PEER_REACHED -> EventLog.log(Event.PEER_REACHED, event.address());
+			case PEER_UNREACHABLE, SILENT_CONNECTION, MESSAGES_DROPPED -> limited(Event.PEER_UNREACHABLE, event);
+			default -> limited(Event.PEER_REFUSED, event);
+		}
+	}
+
+	private void limited(Event kind, WireEvent event) {
+		long now = this.clock.getAsLong();
+		Long last = this.lastLogged.get(event.type());
+		if (last == null || now - last >= MIN_INTERVAL_NANOS) {
+			this.lastLogged.put(event.type(), now);
+			EventLog.log(kind, event.address(), event.type() + " " + event.detail());
+		}
+	}
+
+}
