Add a virtual-time harness for control state, controller and agents

Failures of targets, gates and failure domains were untested. The harness runs one control state with a controller, entry agents and fake targets, and checks after each 5 ms step that no two targets serve one key and that one entry at most may dispatch to a target.

--- /dev/null
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterHarness.java
@@ -0,0 +1,161 @@
+package org.redwingramp.core.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.redwingramp.core.model.EntrySpec;
+import org.redwingramp.core.model.RecordBody;
+import org.redwingramp.core.model.TargetSpec;
+import org.redwingramp.core.placement.PlacementPolicies;
+
+/**
+ * One control state with a controller, entry agents and fake targets in virtual time.
+ * Messages and commits take one step each. After each step it checks that no two targets
+ * accept requests for one key and that at most one entry may dispatch to a target. Not
+ * thread safe.
+ */
+final class ClusterHarness {
+
+	static final long STEP = 5_000_000L;
+
+	static final long SECOND = 1_000_000_000L;
+
+	final StateDriver driver = new StateDriver();
+
+	final Map<String, FakeEntry> entries = new TreeMap<>();
+
+	final Map<String, FakeTarget> targets = new TreeMap<>();
+
+	final List<Command> applied = new ArrayList<>();
+
+	private final Map<Long, List<Action>> due = new TreeMap<>();
+
+	Controller controller;
+
+	boolean leaderReachable = true;
+
+	long now = 1_000 * SECOND;
+
+	private long term;
+
+	ClusterHarness() {
+		elect();
+	}
+
+	void elect() {
+		this.term++;
+		this.controller = Controllers.create(this.driver.state, PlacementPolicies.balanced(), ControlTiming.DEFAULT,
+				this.now, this.term);
+	}
+
+	ControlView view() {
+		return this.driver.state.view();
+	}
+
+	FakeEntry addEntry(String name, String domain) {
+		return addEntry(new EntrySpec(name, "127.0.0.1:70", domain, name + "-" + this.now));
+	}
+
+	FakeEntry addEntry(EntrySpec spec) {
+		FakeEntry entry = new FakeEntry(this, spec);
+		this.entries.put(spec.name(), entry);
+		return entry;
+	}
+
+	FakeTarget addTarget(TargetSpec spec) throws InvariantViolatedException {
+		FakeTarget target = new FakeTarget(spec, this.now);
+		this.targets.put(spec.name(), target);
+		apply(new Command.AnnounceTarget(spec));
+		return target;
+	}
+
+	void apply(Command command) throws InvariantViolatedException {
+		this.driver.clockMillis = StateDriver.START_MILLIS + this.now / 1_000_000;
+		this.driver.apply(command);
+		this.applied.add(command);
+	}
+
+	void later(Action action) {
+		this.due.computeIfAbsent(this.now + STEP, (time) -> new ArrayList<>()).add(action);
+	}
+
+	void run(long nanos) throws InvariantViolatedException {
+		for (long end = this.now + nanos; this.now < end;) {
+			step();
+		}
+	}
+
+	void step() throws InvariantViolatedException {
+		this.now += STEP;
+		List<Action> actions = this.due.remove(this.now);
+		for (Action action : (actions != null) ? actions : List.<Action>of()) {
+			action.run();
+		}
+		for (Command command : this.leaderReachable ? this.controller.tick(this.now) : List.<Command>of()) {
+			later(() -> apply(command));
+		}
+		for (FakeEntry entry : this.entries.values()) {
+			entry.step();
+		}
+		check();
+	}
+
+	long runUntil(long limit, Condition condition) throws InvariantViolatedException {
+		long start = this.now;
+		while (!condition.holds()) {
+			if (this.now - start > limit) {
+				throw new AssertionError("the condition doesn't hold after " + limit / 1_000_000 + " ms");
+			}
+			step();
+		}
+		return this.now - start;
+	}
+
+	boolean settled(RecordBody.Service service) {
+		return view().shards(service.name()).stream().allMatch((shard) -> shard.phase() == ShardPhase.OWNED)
+				&& view().shards(service.name()).stream().allMatch(this::served);
+	}
+
+	boolean served(ShardState shard) {
+		return this.entries.values()
+			.stream()
+			.anyMatch((entry) -> entry.running
+					&& entry.agent.mayDispatch(shard.owner(), shard.id(), shard.fence(), this.now)
+					&& this.targets.get(shard.owner()).accepts(shard.id(), this.now));
+	}
+
+	private void check() {
+		Map<Object, String> owners = new HashMap<>();
+		for (FakeTarget target : this.targets.values()) {
+			target.serving(this.now).forEach((shard) -> {
+				String other = owners.put(shard, target.spec.name());
+				if (other != null) {
+					throw new AssertionError(
+							shard + " is served by " + other + " and " + target.spec.name() + " at " + this.now);
+				}
+			});
+			long gates = this.entries.values().stream().filter((entry) -> entry.mayDispatchTo(target)).count();
+			if (gates > 1) {
+				throw new AssertionError("two gates may dispatch to " + target.spec.name() + " at " + this.now);
+			}
+		}
+	}
+
+	/** Something that happens at a later step. */
+	interface Action {
+
+		void run() throws InvariantViolatedException;
+
+	}
+
+	/** Something to wait for. */
+	interface Condition {
+
+		boolean holds();
+
+	}
+
+}
