--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/EntryRules.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/EntryRules.java
@@ -33,10 +33,11 @@
 		if (current.isEmpty() && changes.base().entries().size() >= MAX_ENTRIES) {
 			return Refusals.limitReached("entry instances", MAX_ENTRIES);
 		}
-		if (current.isPresent() && !current.get().spec().bootId().equals(spec.bootId())) {
+		boolean sameRun = current.filter((entry) -> entry.spec().bootId().equals(spec.bootId())).isPresent();
+		if (!sameRun) {
 			clearGates(spec.name(), changes);
 		}
-		changes.put(spec, false);
+		changes.put(spec, sameRun && current.get().leaving());
 		return new CommandResult.Applied(changes.version());
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/GatePlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/GatePlanner.java
@@ -48,6 +48,8 @@
 
 	private long nextRebalance;
 
+	private Set<String> candidates = Set.of();
+
 	GatePlanner(EntryLeases leases, ControlTiming timing, long electedAt) {
 		this.leases = leases;
 		// Within two heartbeats every live entry instance is known, so the first one to
@@ -59,6 +61,7 @@
 	void propose(ControlView view, Proposals proposals, long now) {
 		List<TargetState> targets = targets(view);
 		Map<String, Integer> gates = gates(view, now);
+		this.candidates = Set.copyOf(gates.keySet());
 		if (now < this.startAt || gates.isEmpty()) {
 			return;
 		}
@@ -145,13 +148,12 @@
 	 * Returns the gates that an entry instance is asked to hand over.
 	 * @param heartbeat its heartbeat
 	 * @param view the view
-	 * @param now the monotonic time in nanoseconds
 	 * @return the targets with their gate epochs
 	 */
-	List<TargetEpoch> handOver(EntryHeartbeat heartbeat, ControlView view, long now) {
+	List<TargetEpoch> handOver(EntryHeartbeat heartbeat, ControlView view) {
 		String name = heartbeat.entry().name();
 		boolean all = heartbeat.leaving() || !view.domainTakesWork(heartbeat.entry().failureDomain());
-		boolean others = gates(view, now).keySet().stream().anyMatch((gate) -> !gate.equals(name));
+		boolean others = this.candidates.stream().anyMatch((gate) -> !gate.equals(name));
 		Stream<TargetEpoch> own = view.targetsOfGate(name).stream().map(GatePlanner::epochOf);
 		return own.filter((target) -> others && (all || this.rebalancing.contains(target))).toList();
 	}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/HotKeyPlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/HotKeyPlanner.java
@@ -112,10 +112,9 @@
 	private void split(RecordBody.Service service, ControlView view, Set<ShardId> known, double mean,
 			Proposals proposals, long now) {
 		int room = MAX_PER_TARGET * view.targets(service.name()).size() - known.size();
-		this.loads.hotKeys()
+		this.loads.hotKeys(service.name(), Math.max(LEAST_RATE, SPLIT_SHARE * mean), now)
 			.stream()
-			.filter((key) -> key.service().equals(service.name()) && !known.contains(key))
-			.filter((key) -> this.loads.hotKeyRate(key, now) > Math.max(LEAST_RATE, SPLIT_SHARE * mean))
+			.filter((key) -> !known.contains(key))
 			.limit(Math.max(0, Math.min(room, MAX_PER_ROUND)))
 			.forEach((key) -> proposals.add(new Command.SplitHotKey(key)));
 	}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ImmutableView.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ImmutableView.java
@@ -81,6 +81,10 @@
 	}
 
 	private SortedMap<String, EntryState> entriesWith(ViewUpdate update) {
+		boolean removal = update.removed().stream().anyMatch(Removed.RemovedEntry.class::isInstance);
+		if (update.entries().isEmpty() && !removal) {
+			return this.entries;
+		}
 		SortedMap<String, EntryState> copy = new TreeMap<>(this.entries);
 		update.removed().forEach((removed) -> {
 			if (removed instanceof Removed.RemovedEntry entry) {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/LeaderController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/LeaderController.java
@@ -53,6 +53,10 @@
 
 	private final Proposals proposals = new Proposals();
 
+	private final LostTargets lostTargets = new LostTargets();
+
+	private final SettledVersion settled;
+
 	private long nextExpiry;
 
 	/**
@@ -69,6 +73,7 @@
 		this.policy = policy;
 		this.electedAt = electedAt;
 		this.term = term;
+		this.settled = new SettledVersion(timing);
 		this.leases = new EntryLeases(timing, electedAt);
 		this.gates = new GatePlanner(this.leases, timing, electedAt);
 		this.nextExpiry = electedAt + EXPIRY_NANOS;
@@ -85,7 +90,7 @@
 		Optional<ViewUpdate> update = (heartbeat.viewVersion() == view.version() && !heartbeat.clusterId().isEmpty())
 				? Optional.empty() : Optional.of(this.state.changesSince(heartbeat.viewVersion()));
 		return new EntryHeartbeatReply(heartbeat.sequence(), this.term, lease, update,
-				this.gates.handOver(heartbeat, view, now));
+				this.gates.handOver(heartbeat, view));
 	}
 
 	@Override
@@ -95,6 +100,7 @@
 		this.leases.propose(view, this.proposals, now);
 		this.leases.heartbeats().forEach((heartbeat) -> proposeReported(heartbeat, view));
 		this.gates.propose(view, this.proposals, now);
+		this.settled.observe(this.leases.versionInForce(view, now), now);
 		List<RecordBody.Service> services = keyedServices(view);
 		services.forEach((service) -> {
 			Map<ShardId, String> wanted = this.hotKeys
@@ -102,7 +108,7 @@
 				.propose(service, view, this.proposals, now);
 			this.planners
 				.computeIfAbsent(service.name(), (name) -> new ShardPlanner(this.policy, this.loads, this.electedAt))
-				.propose(service, wanted, view, this.proposals, now);
+				.propose(service, new ShardPlanner.Limits(wanted, this.settled.version()), view, this.proposals, now);
 		});
 		if (now >= this.nextExpiry) {
 			expire(view, services, now);
@@ -142,6 +148,7 @@
 
 	private void expire(ControlView view, List<RecordBody.Service> services, long now) {
 		this.nextExpiry = now + EXPIRY_NANOS;
+		this.lostTargets.propose(view, this.proposals, now);
 		if (this.state.ledgerSize() > 0) {
 			this.proposals.add(new Command.ExpireLedger());
 		}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/LoadBook.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/LoadBook.java
@@ -1,7 +1,8 @@
 package org.redwingramp.core.control.internal;
 
-import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -18,7 +19,14 @@
 
 	private static final long SILENCE_NANOS = 3_000_000_000L;
 
-	private static final long SLOW_NANOS = 3_000_000_000L;
+	/** A key must stand out for this long, since a short report says little. */
+	private static final long HOT_NANOS = 2_000_000_000L;
+
+	/**
+	 * A slow target that has lost its load can't be measured, so it is trusted again
+	 * gradually; otherwise its shards would move back and forth.
+	 */
+	private static final long SLOW_NANOS = 10_000_000_000L;
 
 	private final Map<String, Rate> shards = new HashMap<>();
 
@@ -27,10 +35,12 @@
 	private final Map<String, Rate> slowTargets = new HashMap<>();
 
 	void record(EntryHeartbeat heartbeat, long now) {
-		heartbeat.shardLoads().forEach((shard, load) -> this.shards.merge(shard, new Rate(load, now), Rate::smoothed));
+		heartbeat.shardLoads()
+			.forEach((shard, load) -> this.shards.merge(shard, new Rate(load, now, now), Rate::smoothed));
 		heartbeat.hotKeys()
-			.forEach((key) -> this.hotKeys.merge(key.key(), new Rate(key.requestsPerSecond(), now), Rate::smoothed));
-		heartbeat.slowTargets().forEach((target, ratio) -> this.slowTargets.put(target, new Rate(ratio, now)));
+			.forEach((key) -> this.hotKeys.merge(key.key(), new Rate(key.requestsPerSecond(), now, now),
+					Rate::smoothed));
+		heartbeat.slowTargets().forEach((target, ratio) -> this.slowTargets.put(target, new Rate(ratio, now, now)));
 	}
 
 	double load(ShardId shard, long now) {
@@ -43,8 +53,22 @@
 		return (rate != null) ? rate.at(now) : 0;
 	}
 
-	Collection<ShardId> hotKeys() {
-		return this.hotKeys.keySet().stream().sorted().toList();
+	/**
+	 * Returns the keys of a service that have stood out for a while.
+	 * @param service the service's name
+	 * @param leastRate the lowest rate in requests per second
+	 * @param now the monotonic time in nanoseconds
+	 * @return the keys, highest rate first
+	 */
+	List<ShardId> hotKeys(String service, double leastRate, long now) {
+		return this.hotKeys.entrySet()
+			.stream()
+			.filter((key) -> key.getKey().service().equals(service) && key.getValue().at(now) > leastRate
+					&& key.getValue().at() - key.getValue().since() >= HOT_NANOS)
+			.sorted(Comparator.comparingDouble((Map.Entry<ShardId, Rate> key) -> -key.getValue().at(now))
+				.thenComparing(Map.Entry::getKey))
+			.map(Map.Entry::getKey)
+			.toList();
 	}
 
 	/**
@@ -55,27 +79,33 @@
 	 */
 	double slowness(String target, long now) {
 		Rate rate = this.slowTargets.get(target);
-		return (rate != null && now - rate.at() < SLOW_NANOS) ? Math.max(1, rate.value()) : 1;
+		if (rate == null) {
+			return 1;
+		}
+		double silence = Math.max(0, now - rate.at() - SILENCE_NANOS);
+		return 1 + Math.max(0, rate.value() - 1) * SLOW_NANOS / (SLOW_NANOS + 10 * silence);
 	}
 
 	void forget(Set<String> currentShards, long now) {
 		this.shards.keySet().retainAll(currentShards);
 		this.hotKeys.values().removeIf((rate) -> now - rate.at() > SMOOTHING_NANOS);
-		this.slowTargets.values().removeIf((rate) -> now - rate.at() > SLOW_NANOS);
+		this.slowTargets.values().removeIf((rate) -> now - rate.at() > 3 * SLOW_NANOS);
 	}
 
 	/**
 	 * A smoothed figure.
 	 *
 	 * @param value the figure
+	 * @param since when it was first reported
 	 * @param at when it was last reported
 	 */
-	private record Rate(double value, long at) {
+	private record Rate(double value, long since, long at) {
 
 		Rate smoothed(Rate next) {
 			double elapsed = Math.max(0, next.at - this.at);
 			double share = elapsed / (elapsed + SMOOTHING_NANOS);
-			return new Rate(this.value + (next.value - this.value) * share, next.at);
+			long start = (elapsed > SILENCE_NANOS) ? next.at : this.since;
+			return new Rate(this.value + (next.value - this.value) * share, start, next.at);
 		}
 
 		double at(long now) {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ShardPlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ShardPlanner.java
@@ -12,10 +12,12 @@
 import org.redwingramp.core.control.Command.FencedShard;
 import org.redwingramp.core.control.Command.ShardAssignment;
 import org.redwingramp.core.control.ControlView;
+import org.redwingramp.core.control.RecordState;
 import org.redwingramp.core.control.ShardPhase;
 import org.redwingramp.core.control.ShardState;
 import org.redwingramp.core.control.TargetState;
 import org.redwingramp.core.model.RecordBody;
+import org.redwingramp.core.model.RecordKind;
 import org.redwingramp.core.model.ShardId;
 import org.redwingramp.core.placement.PlacementPolicy;
 import org.redwingramp.core.placement.PlacementPolicy.Move;
@@ -39,7 +41,7 @@
 	private static final long REBALANCE_NANOS = 1_000_000_000L;
 
 	/** The churn budget per second as a part of the service's shards. */
-	private static final int CHURN_DIVISOR = 64;
+	private static final int CHURN_DIVISOR = 32;
 
 	private final PlacementPolicy policy;
 
@@ -58,17 +60,19 @@
 		this.nextRebalance = startedAt + REBALANCE_NANOS;
 	}
 
-	void propose(RecordBody.Service service, Map<ShardId, String> wanted, ControlView view, Proposals proposals,
-			long now) {
+	void propose(RecordBody.Service service, Limits limits, ControlView view, Proposals proposals, long now) {
 		Collection<ShardState> shards = view.shards(service.name());
 		Map<String, TargetState> targets = view.targets(service.name())
 			.stream()
 			.collect(Collectors.toMap((target) -> target.spec().name(), (target) -> target));
 		this.weights.observe(view, targets.values(), now);
 		evacuate(shards, targets, view, proposals);
+		long created = view.record(RecordKind.SERVICE, service.name()).map(RecordState::viewVersion).orElse(0L);
+		List<ShardState> unowned = shards.stream()
+			.filter((shard) -> shard.phase() == ShardPhase.UNOWNED && assignable(shard, created, limits.settled()))
+			.toList();
 		boolean rebalance = now >= this.nextRebalance;
-		boolean unowned = shards.stream().anyMatch((shard) -> shard.phase() == ShardPhase.UNOWNED);
-		if (!rebalance && !unowned) {
+		if (!rebalance && unowned.isEmpty()) {
 			return;
 		}
 		int budget = rebalance ? Math.max(1, shards.size() / CHURN_DIVISOR) : 0;
@@ -81,8 +85,8 @@
 			.filter((target) -> !target.gate().isEmpty() || !view.shardsOf(target.spec().name()).isEmpty())
 			.map((target) -> this.weights.capacity(target, service, view, now))
 			.toList();
-		List<Move> moves = this.policy.plan(placed(shards, wanted, now), capacities, budget);
-		assign(shards, moves, targets, view, proposals);
+		List<Move> moves = this.policy.plan(placed(shards, limits.wanted(), now), capacities, budget);
+		assign(unowned, moves, targets, view, proposals);
 		release(moves, view, proposals);
 	}
 
@@ -120,14 +124,18 @@
 		return placed;
 	}
 
-	private void assign(Collection<ShardState> shards, List<Move> moves, Map<String, TargetState> targets,
+	// Shards of a new service wait, unless no fence was ever given.
+	private static boolean assignable(ShardState shard, long created, long settled) {
+		return shard.fence() == 0 || shard.viewVersion() > created || shard.viewVersion() <= settled;
+	}
+
+	private void assign(Collection<ShardState> unowned, List<Move> moves, Map<String, TargetState> targets,
 			ControlView view, Proposals proposals) {
 		moves.stream()
 			.filter((move) -> move.reason() == Reason.UNOWNED || move.reason() == Reason.EVACUATE
 					|| move.reason() == Reason.PIN)
 			.forEach((move) -> this.planned.put(move.shard(), move.destination()));
-		List<ShardAssignment> assignments = shards.stream()
-			.filter((shard) -> shard.phase() == ShardPhase.UNOWNED)
+		List<ShardAssignment> assignments = unowned.stream()
 			.flatMap((shard) -> assignment(shard, targets, view).stream())
 			.toList();
 		proposals.addBatch(assignments, (item) -> List.of("assign", item.shard(), item.expectedFence()),
@@ -155,4 +163,13 @@
 		proposals.addBatch(released, (shard) -> shard, Command.ReleaseShards::new);
 	}
 
+	/**
+	 * What restricts the plan.
+	 *
+	 * @param wanted the targets that shards of single keys belong on
+	 * @param settled the view version up to which no former grant is running
+	 */
+	record Limits(Map<ShardId, String> wanted, long settled) {
+	}
+
 }
