Report a missing head of a record

Cause: a record without schema or kind gave neither a record nor a finding, so `redwingramp validate` called a settings file a valid record. Missing fields are reported when a table is finished, and the reader returned before that if the kind or schema was unknown.

Ruled out: finishing the table in full there, since the names that an unknown kind or schema allows are unknown too.

Change: the reader reports the missing head fields alone in that case; a parse result refuses to be built with neither or both. Suggestions of names shorter than six characters allow one mistake, since "pin" was suggested as "kind".

--- a/redwingramp-records/src/main/java/org/redwingramp/records/RecordParseResult.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/RecordParseResult.java
@@ -16,6 +16,10 @@
 
 	public RecordParseResult {
 		findings = List.copyOf(findings);
+		if (record.isPresent() != findings.isEmpty()) {
+			throw new IllegalArgumentException("A parse result has either record or findings, but this one has "
+					+ findings.size() + " findings and " + (record.isPresent() ? "a value" : "no value"));
+		}
 	}
 
 }
--- a/redwingramp-records/src/main/java/org/redwingramp/records/SettingsParseResult.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/SettingsParseResult.java
@@ -14,6 +14,10 @@
 
 	public SettingsParseResult {
 		findings = List.copyOf(findings);
+		if (settings.isPresent() != findings.isEmpty()) {
+			throw new IllegalArgumentException("A parse result has either settings or findings, but this one has "
+					+ findings.size() + " findings and " + (settings.isPresent() ? "a value" : "no value"));
+		}
 	}
 
 }
--- a/redwingramp-records/src/main/java/org/redwingramp/records/internal/RecordReader.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/internal/RecordReader.java
@@ -62,6 +62,7 @@
 	public Optional<RecordBody> body() {
 		Optional<RecordKind> kind = kind();
 		if (kind.isEmpty() || !this.root.valid("schema")) {
+			this.root.finishRequired();
 			return Optional.empty();
 		}
 		RecordBody body = switch (kind.get()) {
--- a/redwingramp-records/src/main/java/org/redwingramp/records/internal/TableReader.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/internal/TableReader.java
@@ -312,17 +312,40 @@
 	 * required field under a misspelled name is one finding.
 	 */
 	public void finish() {
-		this.table.fieldNames().forEachRemaining((name) -> {
-			if (!this.known.contains(name)) {
-				Optional<String> nearest = Texts.nearest(name, this.known);
-				nearest.ifPresent(this.missing::remove);
-				refuse(name,
-						"unknown name " + Texts.quote(name) + "; "
-								+ nearest.map((similar) -> "did you mean " + similar + "?")
-									.orElseGet(() -> "known here: " + String.join(", ", this.known)));
+		finishRequired();
+		unread().forEach((name) -> refuseUnknown(name, Texts.nearest(name, this.known)));
+	}
+
+	/**
+	 * Reports the required fields that are missing, and no other field. Serves tables
+	 * whose other fields have unknown rules.
+	 */
+	public void finishRequired() {
+		this.missing.forEach((name, allowed) -> {
+			Optional<String> misspelled = Texts.nearest(name, unread());
+			if (misspelled.isPresent()) {
+				refuseUnknown(misspelled.get(), Optional.of(name));
+				this.known.add(misspelled.get());
+			}
+			else {
+				refuse(name, "missing; required: " + allowed);
 			}
 		});
-		this.missing.forEach((name, allowed) -> refuse(name, "missing; required: " + allowed));
+		this.missing.clear();
+	}
+
+	private List<String> unread() {
+		return this.table.properties()
+			.stream()
+			.map(Map.Entry::getKey)
+			.filter((name) -> !this.known.contains(name))
+			.toList();
+	}
+
+	private void refuseUnknown(String name, Optional<String> nearest) {
+		refuse(name,
+				"unknown name " + Texts.quote(name) + "; " + nearest.map((similar) -> "did you mean " + similar + "?")
+					.orElseGet(() -> "known here: " + String.join(", ", this.known)));
 	}
 
 	private Optional<JsonNode> field(String name) {
--- a/redwingramp-records/src/main/java/org/redwingramp/records/internal/Texts.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/internal/Texts.java
@@ -12,6 +12,9 @@
 
 	private static final int MAX_QUOTED = 60;
 
+	/** Allows two mistakes from six characters on; more would suggest unrelated names. */
+	private static final int CHARACTERS_PER_MISTAKE = 3;
+
 	private static final int MAX_SHOWN = 200;
 
 	private static final Pattern CONTROL = Pattern.compile("[\\p{Cntrl}\\p{Cf}\\u2028\\u2029]");
@@ -46,7 +49,7 @@
 	 * @return the nearest name, or empty if none is similar
 	 */
 	static Optional<String> nearest(String unknown, Collection<String> known) {
-		int limit = Math.max(2, unknown.length() / 3);
+		int limit = Math.max(1, unknown.length() / CHARACTERS_PER_MISTAKE);
 		return known.stream()
 			.filter((name) -> Math.abs(name.length() - unknown.length()) <= limit)
 			.filter((name) -> distance(unknown, name) <= limit)
--- a/redwingramp-records/src/test/java/org/redwingramp/records/RecordParserTests.java
+++ b/redwingramp-records/src/test/java/org/redwingramp/records/RecordParserTests.java
@@ -101,6 +101,21 @@
 			});
 	}
 
+	@ParameterizedTest
+	@CsvSource(delimiter = '|', textBlock = """
+			'# empty'                         | schema,version,name,kind
+			[pin]                             | schema,version,name,kind
+			schema = 1;kind = "pin"           | version,name,pin
+			schema = 1;knd = "pin";[pin]      | version,name,knd
+			schma = 1;kind = "pin";[pin]      | version,name,schma
+			schema = 1;kind = "pni"           | version,name,kind
+			schema = 9;kind = "pin";new = 1   | version,name,schema
+			""")
+	void shouldReportMissingHead(String text, String fields) {
+		assertThat(findings(text.replace(';', '\n'))).extracting(Finding::field)
+			.containsExactlyInAnyOrder(fields.split(","));
+	}
+
 	@Test
 	void shouldReadDomainsAndPinsInBothSchemas() {
 		for (int schema = 1; schema <= 2; schema++) {
