Add the operator's command

Cause: operators act on the system only through records, and scripts need exit codes that are true.

The command was not run against a daemon, which doesn't exist yet.

--- /dev/null
+++ b/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/RecordFile.java
@@ -0,0 +1,61 @@
+package org.redwingramp.cli.internal;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.redwingramp.core.model.OperatorRecord;
+import org.redwingramp.records.Finding;
+import org.redwingramp.records.RecordParseResult;
+import org.redwingramp.records.RecordParser;
+import org.redwingramp.records.SettingsParser;
+
+/**
+ * A file and what its check found. Immutable and thread safe as long as nobody changes
+ * the text.
+ *
+ * @param name the file's name as given
+ * @param text the content
+ * @param record the record, empty if there are findings or the file holds settings
+ * @param findings all mistakes
+ */
+record RecordFile(String name, byte[] text, Optional<OperatorRecord> record, List<Finding> findings) {
+
+	static RecordFile readRecord(String name) {
+		return read(name, (text) -> {
+			RecordParseResult result = RecordParser.parse(name, text);
+			return new RecordFile(name, text, result.record(), result.findings());
+		});
+	}
+
+	static RecordFile readSettings(String name) {
+		return read(name,
+				(text) -> new RecordFile(name, text, Optional.empty(), SettingsParser.parse(name, text).findings()));
+	}
+
+	private static RecordFile read(String name, Function<byte[], RecordFile> check) {
+		try (InputStream content = Files.newInputStream(Path.of(name))) {
+			return check.apply(content.readNBytes(RecordParser.MAX_BYTES + 1));
+		}
+		catch (IOException | InvalidPathException ex) {
+			Finding finding = new Finding(name, 0, 0, "",
+					"the file can't be read (" + ex.getClass().getSimpleName() + "); it must exist and be readable");
+			return new RecordFile(name, new byte[0], Optional.empty(), List.of(finding));
+		}
+	}
+
+	boolean valid() {
+		return this.findings.isEmpty();
+	}
+
+	String label() {
+		return this.record.map((record) -> record.kind().label() + " " + record.name() + " version " + record.version())
+			.orElse("settings");
+	}
+
+}
