Show no text in findings of settings that may be a secret

Cause: a token written as the value of token_file, or in the place of a name, was quoted in the finding. The mutation test found the second case, a review after it the first.

Ruled out: removing only the values that were read as secrets, since a secret in the wrong place is never read as one.

Change: findings of settings quote only texts shorter than the shortest secret, 16 characters, and addresses; other texts are described by their length.

--- a/redwingramp-records/src/main/java/org/redwingramp/records/RecordParser.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/RecordParser.java
@@ -33,8 +33,8 @@
 	 * @return the record, or the findings
 	 */
 	public static RecordParseResult parse(String fileName, byte[] text) {
-		FindingCollector findings = new FindingCollector(fileName);
-		Optional<OperatorRecord> record = TomlDocument.parse(text, MAX_BYTES, true, findings)
+		FindingCollector findings = FindingCollector.open(fileName);
+		Optional<OperatorRecord> record = TomlDocument.parse(text, MAX_BYTES, findings)
 			.map((document) -> read(document, text, findings))
 			.filter((parsed) -> findings.isEmpty());
 		return new RecordParseResult(record, findings.sorted());
--- a/redwingramp-records/src/main/java/org/redwingramp/records/SettingsParser.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/SettingsParser.java
@@ -28,9 +28,9 @@
 	 * @return the settings, or the findings
 	 */
 	public static SettingsParseResult parse(String fileName, byte[] text) {
-		FindingCollector findings = new FindingCollector(fileName);
+		FindingCollector findings = FindingCollector.confidential(fileName);
 		SecretReader secrets = new SecretReader(Path.of(fileName).toAbsolutePath().getParent());
-		Optional<Settings> settings = TomlDocument.parse(text, MAX_BYTES, false, findings)
+		Optional<Settings> settings = TomlDocument.parse(text, MAX_BYTES, findings)
 			.flatMap((document) -> new SettingsReader(document.reader(findings), findings, secrets).read());
 		return new SettingsParseResult(settings, findings.sorted());
 	}
--- a/redwingramp-records/src/main/java/org/redwingramp/records/internal/FindingCollector.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/internal/FindingCollector.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 import org.redwingramp.records.Finding;
 
@@ -17,14 +18,57 @@
 	/** More findings than this help nobody and would make answers large. */
 	private static final int MAX_FINDINGS = 100;
 
+	/**
+	 * A text shorter than this can't be a whole secret, since the shortest secret has
+	 * this many characters.
+	 */
+	private static final int MIN_SECRET = 16;
+
+	private static final Pattern ADDRESS = Pattern.compile("[0-9.]{1,20}:[0-9]{1,6}");
+
 	private final String file;
 
+	private final boolean confidential;
+
 	private final List<Finding> findings = new ArrayList<>();
 
 	private final Map<String, Location> locations = new HashMap<>();
 
-	public FindingCollector(String file) {
+	private FindingCollector(String file, boolean confidential) {
 		this.file = file;
+		this.confidential = confidential;
+	}
+
+	/**
+	 * Creates a collector for a file without secrets.
+	 * @param file the file's name
+	 * @return the collector
+	 */
+	public static FindingCollector open(String file) {
+		return new FindingCollector(file, false);
+	}
+
+	/**
+	 * Creates a collector for a file with secrets. Its findings quote no text that may be
+	 * a secret in the wrong place.
+	 * @param file the file's name
+	 * @return the collector
+	 */
+	public static FindingCollector confidential(String file) {
+		return new FindingCollector(file, true);
+	}
+
+	/**
+	 * Returns whether a text may be shown.
+	 * @param text the text
+	 * @return {@code false} if it may be a secret
+	 */
+	boolean shows(String text) {
+		return !this.confidential || text.length() < MIN_SECRET || ADDRESS.matcher(text).matches();
+	}
+
+	String quote(String text) {
+		return shows(text) ? Texts.quote(text) : "a text of " + text.length() + " characters";
 	}
 
 	void locate(Map<String, Location> places) {
--- a/redwingramp-records/src/main/java/org/redwingramp/records/internal/ListenReader.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/internal/ListenReader.java
@@ -37,7 +37,7 @@
 		}
 		Optional<Endpoint> endpoint = Endpoint.parse(text);
 		if (endpoint.isEmpty()) {
-			table.refuse(field, "found " + Texts.quote(text) + "; allowed: " + Endpoint.FORM);
+			table.refuse(field, "found " + table.quote(text) + "; allowed: " + Endpoint.FORM);
 		}
 		else if (reachable && endpoint.get().wildcard()) {
 			table.refuse(field, "found " + endpoint.get() + "; other instances connect to this address, so it must"
--- a/redwingramp-records/src/main/java/org/redwingramp/records/internal/SecretReader.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/internal/SecretReader.java
@@ -124,7 +124,7 @@
 				return checked(table, name, new String(bytes, StandardCharsets.UTF_8).strip(), minimum);
 			}
 			catch (IOException | InvalidPathException ex) {
-				table.refuse(name, "the file " + Texts.quote(file) + " can't be read (" + ex.getClass().getSimpleName()
+				table.refuse(name, "the file can't be read (" + ex.getClass().getSimpleName()
 						+ "); it must exist and be readable by the daemon's user");
 				return Optional.empty();
 			}
--- a/redwingramp-records/src/main/java/org/redwingramp/records/internal/SettingsReader.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/internal/SettingsReader.java
@@ -133,7 +133,7 @@
 	private static void refuseSecond(TableReader item, String field, Object value, Map<Object, String> places) {
 		String first = places.putIfAbsent(value, item.path(field));
 		if (first != null && item.valid(field)) {
-			item.refuse(field, "found " + value + ", which is also " + first + "; replicas must differ");
+			item.refuse(field, "found the same value as in " + first + "; replicas must differ");
 		}
 	}
 
@@ -144,11 +144,11 @@
 		}
 		Optional<Settings.Replica> own = replicas.stream().filter((replica) -> replica.name().equals(name)).findFirst();
 		if (own.isEmpty()) {
-			table.refuse("replicas", "this instance, " + name + ", isn't listed; an instance with the control role is"
-					+ " listed under its own name");
+			table.refuse("replicas",
+					"this instance isn't listed; an instance with the control role is" + " listed under its own name");
 		}
 		else if (listen.isPresent() && !own.get().address().equals(listen.get().internal())) {
-			table.refuse("replicas", "this instance, " + name + ", is listed with " + own.get().address()
+			table.refuse("replicas", "this instance is listed with " + own.get().address()
 					+ "; required is listen.internal, which is " + listen.get().internal());
 		}
 	}
--- a/redwingramp-records/src/main/java/org/redwingramp/records/internal/TableReader.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/internal/TableReader.java
@@ -123,7 +123,7 @@
 			return Optional.empty();
 		}
 		if (!rule.allows(node.textValue())) {
-			this.findings.add(place, "found " + Texts.quote(node.textValue()) + "; allowed: " + rule.allowed());
+			this.findings.add(place, "found " + quote(node.textValue()) + "; allowed: " + rule.allowed());
 			return Optional.empty();
 		}
 		return Optional.of(node.textValue());
@@ -228,8 +228,7 @@
 					texts.add(text);
 				}
 				else {
-					this.findings.add(place,
-							"found " + Texts.quote(text) + " a second time; each item is allowed once");
+					this.findings.add(place, "found " + quote(text) + " a second time; each item is allowed once");
 				}
 			});
 		}
@@ -343,9 +342,20 @@
 	}
 
 	private void refuseUnknown(String name, Optional<String> nearest) {
-		refuse(name,
-				"unknown name " + Texts.quote(name) + "; " + nearest.map((similar) -> "did you mean " + similar + "?")
-					.orElseGet(() -> "known here: " + String.join(", ", this.known)));
+		String hint = nearest.map((similar) -> "did you mean " + similar + "?")
+			.orElseGet(() -> "known here: " + String.join(", ", this.known));
+		boolean shown = nearest.isPresent() || this.findings.shows(name);
+		this.findings.add(this.findings.location(path(name)), shown ? path(name) : this.path,
+				"unknown name " + (shown ? Texts.quote(name) : quote(name)) + "; " + hint);
+	}
+
+	/**
+	 * Returns a found text in quotes, or its length only if it may be a secret.
+	 * @param text the text
+	 * @return what a message may show
+	 */
+	String quote(String text) {
+		return this.findings.quote(text);
 	}
 
 	private Optional<JsonNode> field(String name) {
--- a/redwingramp-records/src/main/java/org/redwingramp/records/internal/TomlDocument.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/internal/TomlDocument.java
@@ -46,18 +46,15 @@
 	 * Parses a file.
 	 * @param text the bytes of the file
 	 * @param maxBytes the largest size in bytes
-	 * @param quoteParser whether a finding may carry the parser's own message, which may
-	 * quote the text; {@code false} for files that contain secrets
 	 * @param findings receives what is wrong
 	 * @return the document, or empty if it can't be read at all
 	 */
-	public static Optional<TomlDocument> parse(byte[] text, int maxBytes, boolean quoteParser,
-			FindingCollector findings) {
+	public static Optional<TomlDocument> parse(byte[] text, int maxBytes, FindingCollector findings) {
 		if (text.length > maxBytes) {
 			findings.add("", "the file has " + text.length + " bytes; allowed are at most " + maxBytes);
 			return Optional.empty();
 		}
-		return decode(text, findings).flatMap((characters) -> parse(characters, quoteParser, findings));
+		return decode(text, findings).flatMap((characters) -> parse(characters, findings));
 	}
 
 	private static Optional<String> decode(byte[] text, FindingCollector findings) {
@@ -70,11 +67,11 @@
 		}
 	}
 
-	private static Optional<TomlDocument> parse(String text, boolean quoteParser, FindingCollector findings) {
+	private static Optional<TomlDocument> parse(String text, FindingCollector findings) {
 		try {
 			JsonNode tree = MAPPER.readTree(text);
 			ObjectNode root = (tree instanceof ObjectNode table) ? table : MAPPER.createObjectNode();
-			String excess = excess(root, "", 1);
+			String excess = excess(root, "the file", 1);
 			if (!excess.isEmpty()) {
 				findings.add("", excess);
 				return Optional.empty();
@@ -90,7 +87,7 @@
 			Location place = (ex.getLocation() != null)
 					? new Location(ex.getLocation().getLineNr(), ex.getLocation().getColumnNr()) : Location.UNKNOWN;
 			findings.add(place, "", "the file isn't valid TOML at or before this place"
-					+ (quoteParser ? ": " + Texts.quote(ex.getOriginalMessage()) : ""));
+					+ (findings.shows(ex.getOriginalMessage()) ? ": " + findings.quote(ex.getOriginalMessage()) : ""));
 		}
 		return Optional.empty();
 	}
@@ -103,12 +100,11 @@
 			return "tables and lists are nested more than " + MAX_NESTING + " levels deep";
 		}
 		if (node.size() > MAX_ITEMS) {
-			return (path.isEmpty() ? "the file" : path) + " has " + node.size() + " items; allowed are at most "
-					+ MAX_ITEMS;
+			return path + " has " + node.size() + " items; allowed are at most " + MAX_ITEMS;
 		}
 		return node.properties()
 			.stream()
-			.map((field) -> excess(field.getValue(), Texts.quote(field.getKey()), depth + 1))
+			.map((field) -> excess(field.getValue(), "a list or table", depth + 1))
 			.filter((message) -> !message.isEmpty())
 			.findFirst()
 			.orElseGet(() -> excessOfItems(node, path, depth));
--- /dev/null
+++ b/redwingramp-records/src/test/java/org/redwingramp/records/MutatedTextTests.java
@@ -0,0 +1,79 @@
+package org.redwingramp.records;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against texts that make a parser throw, or return neither a value nor a finding,
+ * which the results refuse. Runs with fixed seeds.
+ */
+class MutatedTextTests {
+
+	private static final int ROUNDS = 3000;
+
+	/**
+	 * A whole secret has at least 16 characters, so no finding may show as many of one.
+	 */
+	private static final List<String> SECRET_PARTS = Stream
+		.of("example-operator-token-replace", "example-target-token-replace",
+				"example-shared-key-replace-by-32-random-characters")
+		.flatMap((secret) -> IntStream.rangeClosed(0, secret.length() - 16)
+			.mapToObj((start) -> secret.substring(start, start + 16)))
+		.toList();
+
+	private static final String INSERTS = "[]{}=.,\"'#\n\\-0a_\u00e9";
+
+	@ParameterizedTest
+	@ValueSource(strings = { "fuego-firme/taller-svc", "tillery/catalog-desk", "tillery/changes/pin-spring-rush" })
+	void shouldEndWithRecordOrFindings(String name) throws IOException {
+		String text = Files.readString(Path.of("..", "examples", name + ".toml"));
+		Random random = new Random(name.length());
+		for (int round = 0; round < ROUNDS; round++) {
+			String mutated = mutate(text, random);
+			RecordParseResult result = RecordParser.parse("file.toml", mutated.getBytes(StandardCharsets.UTF_8));
+			long lines = mutated.lines().count() + 1;
+			assertThat(result.findings()).as(mutated).allMatch((finding) -> finding.line() <= lines);
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "control", "entry", "single" })
+	void shouldEndWithSettingsOrFindingsWithoutSecrets(String name) throws IOException {
+		Path file = Path.of("..", "examples", "settings", name + ".toml");
+		String text = Files.readString(file);
+		Random random = new Random(name.length());
+		for (int round = 0; round < ROUNDS; round++) {
+			String mutated = mutate(text, random);
+			SettingsParseResult result = SettingsParser.parse(file.toString(),
+					mutated.getBytes(StandardCharsets.UTF_8));
+			assertThat(result.findings()).as(mutated)
+				.noneMatch((finding) -> SECRET_PARTS.stream().anyMatch(finding.text()::contains));
+		}
+	}
+
+	private static String mutate(String text, Random random) {
+		StringBuilder mutated = new StringBuilder(text);
+		for (int change = random.nextInt(3); change >= 0; change--) {
+			int start = random.nextInt(mutated.length());
+			int end = Math.min(mutated.length(), start + random.nextInt(30));
+			switch (random.nextInt(3)) {
+				case 0 -> mutated.delete(start, end);
+				case 1 -> mutated.insert(start, INSERTS.charAt(random.nextInt(INSERTS.length())));
+				default -> mutated.insert(random.nextInt(mutated.length()), mutated.substring(start, end));
+			}
+		}
+		return mutated.toString();
+	}
+
+}
--- a/redwingramp-records/src/test/java/org/redwingramp/records/SettingsParserTests.java
+++ b/redwingramp-records/src/test/java/org/redwingramp/records/SettingsParserTests.java
@@ -62,6 +62,8 @@
 			.noneMatch((finding) -> finding.text().contains("Sekrit"));
 		assertThat(findings(SINGLE.replace("Sekrit-targets-01", "Sekrit 2"))).isNotEmpty()
 			.noneMatch((finding) -> finding.text().contains("Sekrit"));
+		assertThat(findings(SINGLE.replace("token = \"Sekrit", "token_file = \"Sekrit"))).isNotEmpty()
+			.noneMatch((finding) -> finding.text().contains("Sekrit"));
 		assertThat(findings(SINGLE.replace("\"" + KEY + "\"", KEY))).isNotEmpty()
 			.noneMatch((finding) -> finding.text().contains("Sekrit"));
 	}
