Check that an acceptance names the record that was sent

Cause: a review of the command and the settings. An answer 200 without the record's name, version or revision counted as an acceptance; a grant timeout close to the grant lease let one lost renewal end a grant; names of fields had no bound, and paths of fields are kept for each field.

Change: such an answer gives an unknown outcome; grant_lease_ms must be at least grant_renewal_ms plus grant_timeout_ms; names have at most 256 characters; the command's names of records follow the record rules; the file name sent to an instance is the last part of the path.

--- a/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/Call.java
+++ b/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/Call.java
@@ -27,8 +27,8 @@
 	}
 
 	static Call submit(String intent, String fileName, byte[] text, long timeoutMillis) {
-		Map<String, String> headers = Map.of("Redwingramp-Intent", intent, "Redwingramp-File",
-				fileName.replaceAll("[^ -~]", "?"), "Content-Type", "application/toml");
+		Map<String, String> headers = Map.of("Redwingramp-Intent", intent, "Redwingramp-File", fileName, "Content-Type",
+				"application/toml");
 		return new Call("POST", "/v1/records", Map.of(), headers, Optional.of(text), timeoutMillis, ATTEMPT_MILLIS);
 	}
 
--- a/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/RecordFile.java
+++ b/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/RecordFile.java
@@ -26,6 +26,8 @@
  */
 record RecordFile(String name, byte[] text, Optional<OperatorRecord> record, List<Finding> findings) {
 
+	private static final int MAX_SHORT_NAME = 255;
+
 	static RecordFile readRecord(String name) {
 		return read(name, (text) -> {
 			RecordParseResult result = RecordParser.parse(name, text);
@@ -53,6 +55,15 @@
 		return this.findings.isEmpty();
 	}
 
+	/**
+	 * Returns the name that an instance's findings carry.
+	 * @return the last part of the path, at most 255 characters of ASCII
+	 */
+	String shortName() {
+		String last = Path.of(this.name).getFileName().toString().replaceAll("[^ -~]", "?");
+		return last.substring(0, Math.min(MAX_SHORT_NAME, last.length()));
+	}
+
 	String label() {
 		return this.record.map((record) -> record.kind().label() + " " + record.name() + " version " + record.version())
 			.orElse("settings");
--- a/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/SubmitCommand.java
+++ b/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/SubmitCommand.java
@@ -25,8 +25,8 @@
 			return ExitCode.FINDINGS;
 		}
 		for (RecordFile file : files) {
-			change(session, Call.submit(intent, file.name(), file.text(), session.timeoutMillis()),
-					"accepted " + file.label());
+			change(session, Call.submit(intent, file.shortName(), file.text(), session.timeoutMillis()), "accepted",
+					file.label());
 		}
 		return ExitCode.OK;
 	}
@@ -38,8 +38,8 @@
 		if (version.isEmpty()) {
 			throw CliException.usage("withdraw needs --version, the version in force, so that no newer one is lost");
 		}
-		change(session, Call.withdraw(kind, name, version.get(), session.timeoutMillis()),
-				"withdrew " + kind + " " + name + " version " + version.get());
+		change(session, Call.withdraw(kind, name, version.get(), session.timeoutMillis()), "withdrew",
+				kind + " " + name + " version " + version.get());
 		return ExitCode.OK;
 	}
 
@@ -51,21 +51,22 @@
 	}
 
 	static String name(String name) throws CliException {
-		if (!name.matches("[a-z0-9._-]{1,63}")) {
+		if (!name.matches("[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?")) {
 			throw CliException.usage("\"" + name + "\" is no name of a record; allowed are 1 to 63 lower-case letters,"
-					+ " digits, hyphens, dots and underscores");
+					+ " digits, hyphens, dots and underscores that start and end with a letter or digit");
 		}
 		return name;
 	}
 
-	private static void change(Session session, Call call, String done) throws CliException {
+	private static void change(Session session, Call call, String verb, String label) throws CliException {
 		long sent = System.nanoTime();
 		Answer answer = session.client().send(call);
+		checkSubject(answer, label);
 		long viewVersion = answer.number("viewVersion");
 		Output output = session.output();
 		if (!output.json()) {
-			output.line(done + " as revision " + answer.number("revision") + ", view version " + viewVersion
-					+ (answer.body().path("repeated").asBoolean() ? " (it had been done before)" : ""));
+			output.line(verb + " " + label + " as revision " + answer.number("revision") + ", view version "
+					+ viewVersion + (answer.body().path("repeated").asBoolean() ? " (it had been done before)" : ""));
 		}
 		Optional<Long> inForceMillis = Optional.empty();
 		try {
@@ -79,6 +80,20 @@
 		}
 	}
 
+	/**
+	 * Checks that an answer belongs to the record that was sent, before it is taken for
+	 * its acceptance.
+	 * @param answer the answer
+	 * @param label the record's kind, name and version
+	 * @throws CliException if the answer is about something else
+	 */
+	private static void checkSubject(Answer answer, String label) throws CliException {
+		String subject = answer.text("kind") + " " + answer.text("name") + " version " + answer.number("version");
+		if (!subject.equals(label) || answer.number("revision") < 1 || answer.number("viewVersion") < 1) {
+			throw CliException.unknown("the answer isn't an acceptance of " + label);
+		}
+	}
+
 	private static void print(Output output, Answer answer, Optional<Long> inForceMillis) {
 		if (output.json()) {
 			ObjectNode node = answer.body().deepCopy();
--- a/redwingramp-cli/src/test/java/org/redwingramp/cli/RedwingrampTests.java
+++ b/redwingramp-cli/src/test/java/org/redwingramp/cli/RedwingrampTests.java
@@ -179,6 +179,14 @@
 		assertThat(this.first.requests).anyMatch((request) -> request.contains("pin/p?version=3"));
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "zona-mixco/zona-capital", "\"version\": 2/\"version\": 3", "345/0" })
+	void shouldNotTakeAnswerAboutAnotherRecordForAcceptance(String change) {
+		this.first.reply(POST, 200, ACCEPTED.replace(change.split("/")[0], change.split("/")[1]));
+		assertThat(run("submit", this.file)).isEqualTo(ExitCode.UNKNOWN);
+		assertThat(out()).isEmpty();
+	}
+
 	@Test
 	void shouldNotTakeMalformedAnswerForAcceptance() {
 		this.first.reply(POST, 200, "[1]");
@@ -188,9 +196,9 @@
 
 	@ParameterizedTest
 	@ValueSource(strings = { "", "summit f", "submit", "status extra", "status --wait", "list zone", "show pin A/b",
-			"withdraw pin p", "withdraw pin p --version 0", "watch --since -1", "status --endpoint localhost:1",
-			"status --timeout 0", "status --nope", "status --token-file /nowhere/token",
-			"validate f --endpoint 1.1.1.1:1" })
+			"show pin ..", "withdraw pin p", "withdraw pin p --version 0", "watch --since -1",
+			"status --endpoint localhost:1", "status --timeout 0", "status --nope",
+			"status --token-file /nowhere/token", "validate f --endpoint 1.1.1.1:1" })
 	void shouldRefuseWrongUsageWithoutSending(String line) {
 		assertThat(run(line.isEmpty() ? new String[0] : line.split(" "))).isEqualTo(ExitCode.USAGE);
 		assertThat(err()).startsWith("redwingramp: ");
--- a/redwingramp-records/src/main/java/org/redwingramp/records/internal/TimingReader.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/internal/TimingReader.java
@@ -1,5 +1,6 @@
 package org.redwingramp.records.internal;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import org.redwingramp.core.consensus.ConsensusTiming;
@@ -42,7 +43,7 @@
 				HEARTBEATS_PER_LEASE);
 		atLeast("grant_lease_ms", timing.grantLeaseNanos(), "grant_renewal_ms", timing.grantRenewalNanos(),
 				RENEWALS_PER_GRANT);
-		atLeast("grant_lease_ms", timing.grantLeaseNanos(), "grant_timeout_ms", timing.grantTimeoutNanos(), 1);
+		refuseGrantsEndedByOneTimeout(timing);
 		atLeast("gate_lease_ms", timing.gateLeaseNanos(), "grant_lease_ms", timing.grantLeaseNanos(), 1);
 		atLeast("view_lifetime_ms", timing.viewLifetimeNanos(), "gate_lease_ms", timing.gateLeaseNanos(), 1);
 		return timing;
@@ -66,6 +67,17 @@
 		return timing;
 	}
 
+	private void refuseGrantsEndedByOneTimeout(ControlTiming timing) {
+		List<String> fields = List.of("grant_timeout_ms", "grant_renewal_ms", "grant_lease_ms");
+		long needed = timing.grantRenewalNanos() + timing.grantTimeoutNanos();
+		if (fields.stream().allMatch(this.table::valid) && needed > timing.grantLeaseNanos()) {
+			String field = fields.stream().filter(this.table::has).findFirst().orElse("grant_lease_ms");
+			this.table.refuse(field, "grant_lease_ms is " + millis(timing.grantLeaseNanos())
+					+ "; allowed: a grant_lease_ms of at least grant_renewal_ms plus grant_timeout_ms, which is "
+					+ millis(needed) + ", since one renewal that times out must not end a grant");
+		}
+	}
+
 	private long nanos(String field, long fallback) {
 		return nanos(field, fallback, MAX_MILLIS);
 	}
--- a/redwingramp-records/src/main/java/org/redwingramp/records/internal/TomlDocument.java
+++ b/redwingramp-records/src/main/java/org/redwingramp/records/internal/TomlDocument.java
@@ -25,6 +25,9 @@
 	/** The longest list or table. */
 	static final int MAX_ITEMS = 1000;
 
+	/** Bounds the paths of fields, which are kept for each field. */
+	private static final int MAX_NAME = 256;
+
 	private static final int MAX_NUMBER_CHARACTERS = 32;
 
 	private static final TomlMapper MAPPER = TomlMapper
@@ -102,6 +105,9 @@
 		if (node.size() > MAX_ITEMS) {
 			return path + " has " + node.size() + " items; allowed are at most " + MAX_ITEMS;
 		}
+		if (node.properties().stream().anyMatch((field) -> field.getKey().length() > MAX_NAME)) {
+			return path + " has a name of more than " + MAX_NAME + " characters";
+		}
 		return node.properties()
 			.stream()
 			.map((field) -> excess(field.getValue(), "a list or table", depth + 1))
--- a/redwingramp-records/src/test/java/org/redwingramp/records/RecordParserTests.java
+++ b/redwingramp-records/src/test/java/org/redwingramp/records/RecordParserTests.java
@@ -144,6 +144,8 @@
 		assertThat(findings("a = [" + "1,".repeat(1001) + "]")).singleElement()
 			.satisfies((finding) -> assertThat(finding.message()).contains("1001 items"));
 		assertThat(findings("a = " + "9".repeat(5000))).singleElement();
+		assertThat(findings("a".repeat(257) + " = 1")).singleElement()
+			.satisfies((finding) -> assertThat(finding.message()).contains("256"));
 	}
 
 	@Test
--- a/redwingramp-records/src/test/java/org/redwingramp/records/SettingsParserTests.java
+++ b/redwingramp-records/src/test/java/org/redwingramp/records/SettingsParserTests.java
@@ -98,7 +98,7 @@
 	}
 
 	@ParameterizedTest
-	@CsvSource({ "entry_heartbeat_ms = 300", "grant_renewal_ms = 300", "grant_lease_ms = 800", "grant_timeout_ms = 500",
+	@CsvSource({ "entry_heartbeat_ms = 300", "grant_renewal_ms = 300", "grant_lease_ms = 800", "grant_timeout_ms = 301",
 			"view_lifetime_ms = 3001", "view_lifetime_ms = 600", "consensus_heartbeat_ms = 100",
 			"min_election_ms = 400", "max_election_ms = 701" })
 	void shouldRefuseLeasesThatOneLostHeartbeatEnds(String timing) {
