--- a/redwingramp-records/src/test/java/org/redwingramp/records/SettingsParserTests.java
+++ b/redwingramp-records/src/test/java/org/redwingramp/records/SettingsParserTests.java
@@ -62,6 +62,8 @@
 			.noneMatch((finding) -> finding.text().contains("Sekrit"));
 		assertThat(findings(SINGLE.replace("Sekrit-targets-01", "Sekrit 2"))).isNotEmpty()
 			.noneMatch((finding) -> finding.text().contains("Sekrit"));
+		assertThat(findings(SINGLE.replace("token = \"Sekrit", "token_file = \"Sekrit"))).isNotEmpty()
+			.noneMatch((finding) -> finding.text().contains("Sekrit"));
 		assertThat(findings(SINGLE.replace("\"" + KEY + "\"", KEY))).isNotEmpty()
 			.noneMatch((finding) -> finding.text().contains("Sekrit"));
 	}
@@ -96,7 +98,7 @@
 	}
 
 	@ParameterizedTest
-	@CsvSource({ "entry_heartbeat_ms = 300", "grant_renewal_ms = 300", "grant_lease_ms = 800", "grant_timeout_ms = 500",
+	@CsvSource({ "entry_heartbeat_ms = 300", "grant_renewal_ms = 300", "grant_lease_ms = 800", "grant_timeout_ms = 301",
 			"view_lifetime_ms = 3001", "view_lifetime_ms = 600", "consensus_heartbeat_ms = 100",
 			"min_election_ms = 400", "max_election_ms = 701" })
 	void shouldRefuseLeasesThatOneLostHeartbeatEnds(String timing) {
