--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/Redwingrampd.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/Redwingrampd.java
@@ -11,6 +11,11 @@
  */
 public final class Redwingrampd {
 
+	private static final String LOG_MANAGER_PROPERTY = "java.util.logging.manager";
+
+	// Named by a string: touching the class here would create the default log manager.
+	private static final String LOG_MANAGER = "org.redwingramp.daemon.internal.runtime.RetainingLogManager";
+
 	private Redwingrampd() {
 	}
 
@@ -19,6 +24,7 @@
 	 * @param args the command line; see {@code --help}
 	 */
 	public static void main(String[] args) {
+		System.setProperty(LOG_MANAGER_PROPERTY, LOG_MANAGER);
 		int code = new DaemonMain(System.out, System.err).run(args);
 		if (code != DaemonMain.OK) {
 			Runtime.getRuntime().halt(code);
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/Daemon.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/Daemon.java
@@ -28,6 +28,9 @@
 
 	private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+	// The balancer needs time to see that the instance isn't ready any more.
+	private static final long NOTICE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	private static final long DRAIN_NANOS = TimeUnit.SECONDS.toNanos(20);
 
 	private static final long STEP_MILLIS = 10;
@@ -84,12 +87,13 @@
 	private void leave(EntryRole entry) throws InterruptedException {
 		EventLog.log(Event.STOPPING, this.settings.instance().name(), entry.gauge().current());
 		entry.leave();
+		long noticeEnd = this.clock.getAsLong() + NOTICE_NANOS;
 		long handOverEnd = this.clock.getAsLong() + HAND_OVER_NANOS;
 		while (!entry.handedOver() && this.clock.getAsLong() < handOverEnd) {
 			TimeUnit.MILLISECONDS.sleep(STEP_MILLIS);
 		}
 		long drainEnd = this.clock.getAsLong() + DRAIN_NANOS;
-		while (!quiet(entry) && this.clock.getAsLong() < drainEnd) {
+		while ((this.clock.getAsLong() < noticeEnd || !quiet(entry)) && this.clock.getAsLong() < drainEnd) {
 			TimeUnit.MILLISECONDS.sleep(STEP_MILLIS);
 		}
 	}
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/DaemonMain.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/DaemonMain.java
@@ -5,8 +5,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -44,8 +42,6 @@
 
 	private static final String VERSION = "redwingrampd 0.1.0";
 
-	private static final long STOP_SECONDS = 60;
-
 	private final PrintStream out;
 
 	private final PrintStream err;
@@ -101,6 +97,7 @@
 	}
 
 	private int serve(Settings settings) {
+		StopSignal signal = StopSignal.install();
 		try {
 			LogSetup.apply(settings.logging());
 			Daemon daemon = DaggerDaemonComponent.builder()
@@ -108,7 +105,8 @@
 				.build()
 				.daemon();
 			daemon.start();
-			awaitStop(daemon);
+			signal.await();
+			daemon.stop();
 			return OK;
 		}
 		catch (Exception ex) {
@@ -116,6 +114,9 @@
 			ex.printStackTrace(this.err);
 			return CANNOT_START;
 		}
+		finally {
+			signal.handled();
+		}
 	}
 
 	private static Optional<OpenStore> openStore(Settings settings) throws StorageException {
@@ -126,31 +127,6 @@
 		return Optional.of(ControlRole.open(folder, settings.instance().name()));
 	}
 
-	private static void awaitStop(Daemon daemon) throws Exception {
-		CountDownLatch asked = new CountDownLatch(1);
-		CountDownLatch done = new CountDownLatch(1);
-		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-			asked.countDown();
-			awaitQuietly(done);
-		}, "stop"));
-		asked.await();
-		try {
-			daemon.stop();
-		}
-		finally {
-			done.countDown();
-		}
-	}
-
-	private static void awaitQuietly(CountDownLatch done) {
-		try {
-			done.await(STOP_SECONDS, TimeUnit.SECONDS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	private static Options options() {
 		return new Options()
 			.addOption(Option.builder().longOpt("settings").hasArg().argName("FILE").desc("the settings in TOML").get())
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/LogSetup.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/LogSetup.java
@@ -2,12 +2,12 @@
 
 import java.io.IOException;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.FileHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
@@ -23,19 +23,22 @@
 
 	private static final int FILES = 8;
 
+	// The log manager holds loggers weakly, so their levels last only as long as these.
+	private static final Logger OWN = Logger.getLogger("org.redwingramp");
+
 	private LogSetup() {
 	}
 
 	static void apply(Settings.Logging logging) throws IOException {
-		LogManager.getLogManager().reset();
 		Handler handler = logging.file().isPresent()
 				? new FileHandler(logging.file().get().toString(), FILE_BYTES, FILES, true) : new ConsoleHandler();
 		handler.setFormatter(new LineFormatter());
 		handler.setLevel(Level.ALL);
 		Logger root = Logger.getLogger("");
+		Arrays.stream(root.getHandlers()).forEach(root::removeHandler);
 		root.addHandler(handler);
 		root.setLevel(Level.WARNING);
-		Logger.getLogger("org.redwingramp").setLevel(logging.level());
+		OWN.setLevel(logging.level());
 	}
 
 	private static final class LineFormatter extends Formatter {
