--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/Problem.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/Problem.java
@@ -13,6 +13,9 @@
 	/** The path names no service. */
 	UNKNOWN_SERVICE(404, Outcome.NOT_RUN, "no such service"),
 
+	/** The path could be read in two ways. */
+	BAD_PATH(400, Outcome.NOT_RUN, "the path is ambiguous"),
+
 	/** The request has no key where the service record expects it. */
 	NO_KEY(400, Outcome.NOT_RUN, "the request has no key"),
 
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/RequestClassifier.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/RequestClassifier.java
@@ -1,10 +1,13 @@
 package org.redwingramp.daemon.internal.route;
 
+import java.util.Arrays;
 import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import org.eclipse.jetty.util.URIUtil;
+
 import org.redwingramp.core.control.ControlView;
 import org.redwingramp.core.model.KeySource;
 import org.redwingramp.core.model.RecordBody;
@@ -28,13 +31,14 @@
 	}
 
 	RoutedRequest classify(InboundRequest inbound, ControlView view) throws RequestRefusedException {
-		String serviceName = segment(inbound.path(), 0);
+		String path = canonical(inbound.path());
+		String serviceName = segment(path, 0);
 		RecordBody.Service service = view.service(serviceName)
 			.orElseThrow(() -> new RequestRefusedException(Problem.UNKNOWN_SERVICE,
 					"the first path segment \"" + serviceName + "\" names no service"));
-		String servicePath = inbound.path().substring(serviceName.length() + 1);
+		String servicePath = path.substring(serviceName.length() + 1);
 		RouteRule rule = service.rule(inbound.method(), servicePath.isEmpty() ? "/" : servicePath);
-		String key = key(inbound, service);
+		String key = key(inbound, path, service);
 		String given = inbound.header(Headers.IDEMPOTENCY_KEY).map(RequestClassifier::unquote).orElse("");
 		String identity = given.isEmpty() ? UUID.randomUUID().toString() : given;
 		long issued = given.isEmpty() ? this.wallMillis.getAsLong() : issued(inbound, given, rule);
@@ -43,12 +47,12 @@
 				deadline);
 	}
 
-	private String key(InboundRequest inbound, RecordBody.Service service) throws RequestRefusedException {
+	private String key(InboundRequest inbound, String path, RecordBody.Service service) throws RequestRefusedException {
 		KeySource source = service.keySource();
 		String key = switch (source.kind()) {
 			case NONE -> "";
 			case HEADER -> inbound.header(source.header()).orElse("");
-			case PATH -> segment(inbound.path(), source.pathSegment() + 1);
+			case PATH -> segment(path, source.pathSegment() + 1);
 		};
 		if (source.keyed() && key.isEmpty()) {
 			throw new RequestRefusedException(Problem.NO_KEY,
@@ -101,6 +105,18 @@
 		throw new RequestRefusedException(Problem.BAD_DEADLINE, Headers.DEADLINE + " is \"" + header + "\"");
 	}
 
+	// One key or one rule must not be reachable by two spellings of a path, since the
+	// spellings would have different owners or classes.
+	private static String canonical(String path) throws RequestRefusedException {
+		String decoded = URIUtil.decodePath(path);
+		boolean dots = Arrays.stream(decoded.split("/")).anyMatch((part) -> part.equals(".") || part.equals(".."));
+		if (dots || decoded.contains("//") || decoded.contains(";")) {
+			throw new RequestRefusedException(Problem.BAD_PATH,
+					"the path must not have empty segments, dot segments or semicolons");
+		}
+		return decoded;
+	}
+
 	private static String segment(String path, int index) {
 		String[] segments = path.split("/", index + 3);
 		return (segments.length > index + 1) ? segments[index + 1] : "";
--- /dev/null
+++ b/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/route/RequestClassifierTests.java
@@ -0,0 +1,105 @@
+package org.redwingramp.daemon.internal.route;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import org.redwingramp.core.model.RequestClass;
+import org.redwingramp.daemon.internal.gate.ControlFixture;
+import org.redwingramp.daemon.internal.http.HeaderField;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+class RequestClassifierTests {
+
+	private static final long NOW_MILLIS = 1_796_000_000_000L;
+
+	private final ControlFixture control = new ControlFixture("127.0.0.1:9");
+
+	private final RequestClassifier classifier = new RequestClassifier(() -> NOW_MILLIS);
+
+	@Test
+	void shouldFindKeyClassAndDeadline() throws Exception {
+		RoutedRequest request = classify("GET", "/taller-svc/history/wok-1");
+		assertThat(request.key()).isEqualTo("wok-1");
+		assertThat(request.requestClass()).isEqualTo(RequestClass.IDEMPOTENT);
+		assertThat(request.deadline()).isEqualTo(TimeUnit.MILLISECONDS.toNanos(1_000));
+	}
+
+	/** Guards against a booking that is retried because no rule names it. */
+	@Test
+	void shouldRunARequestWithoutARuleAtMostOnce() throws Exception {
+		assertThat(classify("POST", "/taller-svc/visits/wok-1").requestClass()).isEqualTo(RequestClass.AT_MOST_ONCE);
+	}
+
+	/** Guards against two shards for one key that is written in two ways. */
+	@Test
+	void shouldDecodeTheKey() throws Exception {
+		assertThat(classify("GET", "/taller-svc/history/w%6Fk-1").key()).isEqualTo("wok-1");
+	}
+
+	/** Guards against a booking that is taken for a lookup by the prefix of its path. */
+	@Test
+	void shouldRefuseAmbiguousPaths() {
+		List.of("/taller-svc/history/../visits/wok-1", "/taller-svc//history/wok-1", "/taller-svc/./history/wok-1",
+				"/taller-svc/history;x/wok-1")
+			.forEach((path) -> assertRefused(Problem.BAD_PATH, "GET", path));
+	}
+
+	@Test
+	void shouldCutAnAbsurdDeadline() throws Exception {
+		RoutedRequest request = classify("GET", "/taller-svc/history/wok-1", "Redwingramp-Deadline-Ms",
+				"99999999999999");
+		assertThat(request.deadline()).isEqualTo(TimeUnit.MILLISECONDS.toNanos(5_000));
+	}
+
+	@Test
+	void shouldRefuseDeadlinesThatAreNoPositiveNumber() {
+		List.of("0", "-5", "soon", "1e3", "999999999999999999999")
+			.forEach((value) -> assertRefused(Problem.BAD_DEADLINE, "GET", "/taller-svc/history/wok-1",
+					"Redwingramp-Deadline-Ms", value));
+	}
+
+	@Test
+	void shouldRefuseUnknownServicesAndMissingKeys() {
+		assertRefused(Problem.UNKNOWN_SERVICE, "GET", "/nothing/history/wok-1");
+		assertRefused(Problem.UNKNOWN_SERVICE, "GET", "/");
+		assertRefused(Problem.NO_KEY, "GET", "/taller-svc/history");
+		assertRefused(Problem.NO_KEY, "GET", "/taller-svc/history/");
+	}
+
+	/** Guards against an identity whose age is unknown once the ledger dropped it. */
+	@Test
+	void shouldRefuseAnIdentityWithoutATimeOfIssue() {
+		assertRefused(Problem.BAD_IDENTITY, "POST", "/taller-svc/visits/wok-1", "Idempotency-Key", "order-7");
+	}
+
+	@Test
+	void shouldReadTheTimeOfIssueFromAUuid() throws Exception {
+		RoutedRequest request = classify("POST", "/taller-svc/visits/wok-1", "Idempotency-Key",
+				"01a23f44-f029-7ab3-ae8f-56cfa979d240");
+		assertThat(request.issuedMillis()).isEqualTo(0x01a23f44f029L);
+		assertThat(request.identityGiven()).isTrue();
+	}
+
+	@Test
+	void shouldGiveAnIdentityToARequestWithoutOne() throws Exception {
+		RoutedRequest request = classify("POST", "/taller-svc/visits/wok-1");
+		assertThat(request.identity()).isNotEmpty();
+		assertThat(request.issuedMillis()).isEqualTo(NOW_MILLIS);
+	}
+
+	private void assertRefused(Problem problem, String method, String path, String... header) {
+		assertThatExceptionOfType(RequestRefusedException.class).isThrownBy(() -> classify(method, path, header))
+			.satisfies((ex) -> assertThat(ex.problem()).isEqualTo(problem));
+	}
+
+	private RoutedRequest classify(String method, String path, String... header) throws RequestRefusedException {
+		List<HeaderField> headers = (header.length == 2) ? List.of(new HeaderField(header[0], header[1])) : List.of();
+		return this.classifier.classify(new InboundRequest(method, path, "", headers, List.of(), new byte[0], 0),
+				this.control.view());
+	}
+
+}
