Name the target's run in a grant

A grant now names the run, and another run ignores it. Also ruled out: reordered grants (at most one is in flight) and late leases (the lease was on the former run's clock).

--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/GrantSession.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/GrantSession.java
@@ -104,7 +104,7 @@
 		if (this.unanswered.size() > MAX_UNANSWERED) {
 			this.unanswered.removeFirst();
 		}
-		return new Grant(gate, this.epoch, until, shards);
+		return new Grant(gate, this.epoch, this.bootId, until, shards);
 	}
 
 	private boolean granted(ShardState shard, long now) {
--- /dev/null
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterFaultTests.java
@@ -0,0 +1,127 @@
+package org.redwingramp.core.control;
+
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.redwingramp.core.model.DomainState;
+import org.redwingramp.core.model.KeyHash;
+import org.redwingramp.core.model.RecordBody;
+import org.redwingramp.core.model.RecordKind;
+import org.redwingramp.core.model.ShardId;
+import org.redwingramp.core.model.TargetSpec;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a key that runs on two targets, and against a cluster that doesn't
+ * recover, under random combinations of faults.
+ */
+class ClusterFaultTests {
+
+	private static final long SECOND = ClusterHarness.SECOND;
+
+	private static final int SLICES = 16;
+
+	private static final RecordBody.Service SERVICE = Fixtures.keyed(Fixtures.KEYED, SLICES);
+
+	private static final String[] DOMAINS = { "zona-capital", "zona-mixco", "zona-villanueva" };
+
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25,
+			26, 27, 28, 29, 30 })
+	void shouldKeepOneOwnerAndRecover(long seed) throws InvariantViolatedException {
+		ClusterHarness cluster = new ClusterHarness(seed);
+		cluster.longestDelay = 6;
+		cluster.lossRate = 0.01;
+		cluster.apply(Fixtures.submit(SERVICE));
+		for (int i = 0; i < 3; i++) {
+			cluster.addEntry("e" + i, DOMAINS[i]);
+		}
+		for (int i = 0; i < 6; i++) {
+			announce(cluster, i);
+		}
+		Random random = new Random(seed);
+		for (int fault = 0; fault < 60; fault++) {
+			fault(cluster, random);
+			work(cluster, random, (long) (random.nextDouble() * 1.5 * SECOND));
+		}
+		repair(cluster);
+		work(cluster, random, 15 * SECOND);
+		assertThat(cluster.settled(SERVICE)).as("all shards are served 15 s after the last fault").isTrue();
+		assertThat(cluster.entries.values().stream().mapToLong((entry) -> entry.dispatched).sum()).isPositive();
+	}
+
+	private static void announce(ClusterHarness cluster, int index) throws InvariantViolatedException {
+		cluster.addTarget(Fixtures.target("t" + index, Fixtures.KEYED, DOMAINS[index % 3], "boot-" + cluster.now));
+	}
+
+	private static void work(ClusterHarness cluster, Random random, long nanos) throws InvariantViolatedException {
+		for (long end = cluster.now + nanos; cluster.now < end;) {
+			String key = "wok-" + random.nextInt(64);
+			long duration = (random.nextInt(20) == 0) ? SECOND : SECOND / 50;
+			cluster.entries.values().forEach((entry) -> entry.request(key, duration));
+			cluster.step();
+		}
+	}
+
+	private static void fault(ClusterHarness cluster, Random random) throws InvariantViolatedException {
+		FakeEntry entry = cluster.entries.get("e" + random.nextInt(3));
+		FakeTarget target = cluster.targets.get("t" + random.nextInt(6));
+		TargetSpec spec = target.spec;
+		switch (random.nextInt(10)) {
+			case 0 -> entry.toggleRunning();
+			case 1 -> cluster.addEntry(entry.spec.name(), entry.spec.failureDomain());
+			case 2 -> target.freeze();
+			case 3 -> thaw(cluster, target);
+			case 4 -> announce(cluster, Integer.parseInt(spec.name().substring(1)));
+			case 5 -> cluster.elect();
+			case 6 -> cluster.toggleLeader();
+			case 7 -> domain(cluster, spec.failureDomain(), random.nextBoolean() ? DomainState.OUT : DomainState.IN);
+			case 8 -> splitOrRelease(cluster, random);
+			default -> entry.leave();
+		}
+	}
+
+	private static void thaw(ClusterHarness cluster, FakeTarget target) throws InvariantViolatedException {
+		target.answering = true;
+		cluster.apply(new Command.AnnounceTarget(target.spec));
+	}
+
+	private static void splitOrRelease(ClusterHarness cluster, Random random) throws InvariantViolatedException {
+		String key = "wok-" + random.nextInt(64);
+		ShardId hot = ShardId.hotKey(Fixtures.KEYED, KeyHash.slice(key, SLICES), key);
+		cluster.apply(new Command.SplitHotKey(hot));
+		ShardState shard = cluster.view().shard(hot).orElseThrow();
+		cluster.apply(random.nextBoolean() ? new Command.MergeHotKey(hot)
+				: new Command.ReleaseShards(List.of(new Command.FencedShard(hot, shard.fence()))));
+	}
+
+	private static void domain(ClusterHarness cluster, String name, DomainState state)
+			throws InvariantViolatedException {
+		long version = cluster.view()
+			.record(RecordKind.DOMAIN, name)
+			.map((record) -> record.record().version() + 1)
+			.orElse(1L);
+		cluster.apply(Fixtures.domain(name, version, state));
+	}
+
+	private static void repair(ClusterHarness cluster) throws InvariantViolatedException {
+		cluster.leaderReachable = true;
+		for (String name : DOMAINS) {
+			domain(cluster, name, DomainState.IN);
+		}
+		for (FakeEntry entry : List.copyOf(cluster.entries.values())) {
+			entry.running = true;
+			if (entry.leaving) {
+				cluster.addEntry(entry.spec.name(), entry.spec.failureDomain());
+			}
+		}
+		for (int i = 0; i < 6; i++) {
+			thaw(cluster, cluster.targets.get("t" + i));
+		}
+	}
+
+}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterHarness.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterHarness.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 
 import org.redwingramp.core.model.EntrySpec;
@@ -39,9 +40,18 @@
 
 	long now = 1_000 * SECOND;
 
+	/** The longest delay of a message in steps. */
+	int longestDelay = 1;
+
+	/** The share of messages that are lost. */
+	double lossRate;
+
+	final Random random;
+
 	private long term;
 
-	ClusterHarness() {
+	ClusterHarness(long seed) {
+		this.random = new Random(seed);
 		elect();
 	}
 
@@ -51,6 +61,10 @@
 				this.now, this.term);
 	}
 
+	void toggleLeader() {
+		this.leaderReachable = !this.leaderReachable;
+	}
+
 	ControlView view() {
 		return this.driver.state.view();
 	}
@@ -76,10 +90,26 @@
 		this.driver.clockMillis = StateDriver.START_MILLIS + this.now / 1_000_000;
 		this.driver.apply(command);
 		this.applied.add(command);
+		if (command instanceof Command.TargetLost lost) {
+			this.targets.get(lost.name()).abandonRequests();
+		}
 	}
 
 	void later(Action action) {
-		this.due.computeIfAbsent(this.now + STEP, (time) -> new ArrayList<>()).add(action);
+		if (this.random.nextDouble() >= this.lossRate) {
+			long at = this.now + STEP * (1 + this.random.nextInt(this.longestDelay));
+			this.due.computeIfAbsent(at, (time) -> new ArrayList<>()).add(action);
+		}
+	}
+
+	// Commits keep their order, as entries of a log. Those of a former leader are lost.
+	private void commit(Command command) {
+		long proposedIn = this.term;
+		this.due.computeIfAbsent(this.now + STEP, (time) -> new ArrayList<>()).add(() -> {
+			if (proposedIn == this.term) {
+				apply(command);
+			}
+		});
 	}
 
 	void run(long nanos) throws InvariantViolatedException {
@@ -95,7 +125,7 @@
 			action.run();
 		}
 		for (Command command : this.leaderReachable ? this.controller.tick(this.now) : List.<Command>of()) {
-			later(() -> apply(command));
+			commit(command);
 		}
 		for (FakeEntry entry : this.entries.values()) {
 			entry.step();
@@ -137,6 +167,13 @@
 							shard + " is served by " + other + " and " + target.spec.name() + " at " + this.now);
 				}
 			});
+			target.runningKeys(this.now).forEach((key) -> {
+				String other = owners.put(key, target.spec.name());
+				if (other != null) {
+					throw new AssertionError(
+							key + " runs on " + other + " and " + target.spec.name() + " at " + this.now);
+				}
+			});
 			long gates = this.entries.values().stream().filter((entry) -> entry.mayDispatchTo(target)).count();
 			if (gates > 1) {
 				throw new AssertionError("two gates may dispatch to " + target.spec.name() + " at " + this.now);
--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterTests.java
@@ -22,7 +22,7 @@
 
 	private static final String[] DOMAINS = { "zona-capital", "zona-mixco", "zona-villanueva" };
 
-	private final ClusterHarness cluster = new ClusterHarness();
+	private final ClusterHarness cluster = new ClusterHarness(1);
 
 	@BeforeEach
 	void start() throws InvariantViolatedException {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/FakeEntry.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/FakeEntry.java
@@ -1,17 +1,18 @@
 package org.redwingramp.core.control;
 
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 
 import org.redwingramp.core.control.EntryHeartbeat.TargetEpoch;
 import org.redwingramp.core.model.EntrySpec;
-import org.redwingramp.core.model.ShardId;
+import org.redwingramp.core.model.RecordBody;
 
 /**
- * An entry instance that sends heartbeats and grants every 100 ms. Not thread safe.
+ * An entry instance that sends heartbeats and grants every 100 ms, one grant to a target
+ * at a time. Not thread safe.
  */
 final class FakeEntry {
 
@@ -21,8 +22,6 @@
 
 	final EntryAgent agent;
 
-	final Set<ShardId> busy = new HashSet<>();
-
 	Map<String, Double> loads = Map.of();
 
 	List<EntryHeartbeat.HotKey> hotKeys = List.of();
@@ -31,9 +30,15 @@
 
 	boolean leaving;
 
+	long dispatched;
+
 	private final ClusterHarness cluster;
 
-	private final Map<String, Long> nextGrants = new HashMap<>();
+	private final Map<String, Grant> awaited = new HashMap<>();
+
+	private final Map<String, Long> sent = new HashMap<>();
+
+	private final List<Request> requests = new ArrayList<>();
 
 	private long nextHeartbeat;
 
@@ -44,19 +49,30 @@
 		this.nextHeartbeat = cluster.now + Math.floorMod(spec.name().hashCode(), 20) * ClusterHarness.STEP;
 	}
 
+	void toggleRunning() {
+		this.running = !this.running;
+	}
+
+	void leave() {
+		this.leaving = true;
+	}
+
 	void step() {
 		long now = this.cluster.now;
 		if (!this.running) {
 			return;
 		}
+		this.requests.removeIf((request) -> now >= request.end());
 		if (now >= this.nextHeartbeat) {
 			this.nextHeartbeat = now + PERIOD;
 			sendHeartbeat(now);
 		}
 		for (TargetState target : targets()) {
-			if (now >= this.nextGrants.getOrDefault(target.spec().name(), 0L)) {
-				this.nextGrants.put(target.spec().name(), now + PERIOD);
-				sendGrant(target, now);
+			String name = target.spec().name();
+			long wait = this.awaited.containsKey(name) ? ControlTiming.DEFAULT.grantTimeoutNanos() : PERIOD;
+			if (now - this.sent.getOrDefault(name, 0L) >= wait) {
+				this.sent.put(name, now);
+				sendGrant(name, now);
 			}
 		}
 	}
@@ -65,23 +81,50 @@
 		return List.copyOf(this.agent.view().targetsOfGate(this.spec.name()));
 	}
 
+	void request(String key, long duration) {
+		Optional<RecordBody.Service> service = this.agent.view().service(Fixtures.KEYED);
+		Optional<ShardState> shard = service.flatMap((found) -> this.agent.view().shard(found, key));
+		if (!this.running || shard.isEmpty()) {
+			return;
+		}
+		String owner = shard.get().owner();
+		if (this.agent.mayDispatch(owner, shard.get().id(), shard.get().fence(), this.cluster.now)) {
+			long epoch = this.agent.view().target(owner).orElseThrow().gateEpoch();
+			long end = this.cluster.now + duration;
+			if (this.cluster.targets.get(owner).start(key, shard.get().id(), epoch, end, this.cluster.now)) {
+				this.requests.add(new Request(key, owner, end));
+				this.dispatched++;
+			}
+		}
+	}
+
+	private boolean idle(ShardState shard) {
+		RecordBody.Service service = this.agent.view().service(shard.id().service()).orElseThrow();
+		return this.requests.stream()
+			.noneMatch((request) -> this.agent.view()
+				.shard(service, request.key())
+				.filter((state) -> state.id().equals(shard.id()))
+				.isPresent());
+	}
+
 	private void sendHeartbeat(long now) {
 		targets().stream()
 			.flatMap((target) -> this.agent.view().shardsOf(target.spec().name()).stream())
-			.filter((shard) -> shard.phase() == ShardPhase.RELEASING && !this.busy.contains(shard.id()))
+			.filter((shard) -> shard.phase() == ShardPhase.RELEASING && idle(shard))
 			.forEach((shard) -> this.agent.drained(shard.id(), shard.fence()));
 		List<TargetEpoch> handedOver = targets().stream()
-			.filter((target) -> this.agent.handOver(target.spec().name()) && this.busy.isEmpty())
+			.filter((target) -> this.agent.handOver(target.spec().name())
+					&& this.requests.stream().noneMatch((request) -> request.target().equals(target.spec().name())))
 			.map((target) -> new TargetEpoch(target.spec().name(), target.spec().bootId(), target.gateEpoch()))
 			.toList();
 		EntryHeartbeat heartbeat = this.agent
 			.heartbeat(new GateReports(this.leaving, handedOver, List.of(), this.loads, this.hotKeys, Map.of()), now);
-		if (this.cluster.leaderReachable) {
-			this.cluster.later(() -> {
+		this.cluster.later(() -> {
+			if (this.cluster.leaderReachable) {
 				EntryHeartbeatReply reply = this.cluster.controller.heartbeat(heartbeat, this.cluster.now);
 				this.cluster.later(() -> receive(reply));
-			});
-		}
+			}
+		});
 	}
 
 	private void receive(EntryHeartbeatReply reply) throws InvariantViolatedException {
@@ -90,13 +133,13 @@
 		}
 	}
 
-	private void sendGrant(TargetState state, long now) {
-		String name = state.spec().name();
+	private void sendGrant(String name, long now) {
 		Grant grant = this.agent.nextGrant(name, now);
-		this.cluster.later(() -> this.cluster.targets.get(name)
-			.grant(grant, this.cluster.now)
+		this.awaited.put(name, grant);
+		this.cluster.later(() -> Optional.ofNullable(this.cluster.targets.get(name))
+			.flatMap((target) -> target.grant(grant, this.cluster.now))
 			.ifPresent((reply) -> this.cluster.later(() -> {
-				if (this.running) {
+				if (this.running && this.awaited.remove(name, grant)) {
 					this.agent.grantReply(name, grant.epoch(), reply, this.cluster.now);
 				}
 			})));
@@ -110,4 +153,14 @@
 					(shard) -> this.agent.mayDispatch(target.spec.name(), shard.id(), shard.fence(), this.cluster.now));
 	}
 
+	/**
+	 * A request in flight.
+	 *
+	 * @param key the key
+	 * @param target the target
+	 * @param end when it is finished
+	 */
+	private record Request(String key, String target, long end) {
+	}
+
 }
--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/FakeTarget.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/FakeTarget.java
@@ -18,7 +18,7 @@
 
 	boolean answering = true;
 
-	int inFlight;
+	private final Map<String, Long> running = new HashMap<>();
 
 	private final long clockOrigin;
 
@@ -33,6 +33,10 @@
 		this.clockOrigin = now - 77_000_000L;
 	}
 
+	void freeze() {
+		this.answering = false;
+	}
+
 	private long clock(long now) {
 		return (now - this.clockOrigin) / 1_000_000;
 	}
@@ -41,17 +45,36 @@
 		if (!this.answering) {
 			return Optional.empty();
 		}
-		if (grant.epoch() >= this.epoch) {
+		if (grant.epoch() >= this.epoch && grant.bootId().equals(this.spec.bootId())) {
 			this.epoch = grant.epoch();
 			this.shards = new HashMap<>();
 			grant.shards().forEach((shard) -> this.shards.put(shard.shard(), shard.fence()));
 			this.leaseUntil = Math.max(this.leaseUntil, grant.leaseUntilMillis());
 		}
-		return Optional.of(new GrantReply(clock(now), this.spec.bootId(), this.epoch, this.inFlight));
+		return Optional.of(new GrantReply(clock(now), this.spec.bootId(), this.epoch, runningKeys(now).size()));
 	}
 
 	boolean accepts(ShardId shard, long now) {
-		return clock(now) < this.leaseUntil && this.shards.containsKey(shard);
+		return this.answering && clock(now) < this.leaseUntil && this.shards.containsKey(shard);
+	}
+
+	boolean start(String key, ShardId shard, long gateEpoch, long end, long now) {
+		boolean started = accepts(shard, now) && gateEpoch == this.epoch;
+		if (started) {
+			this.running.merge(key, end, Math::max);
+		}
+		return started;
+	}
+
+	// A target that is lost can't be asked to stop what it runs; its grant lease is over
+	// and it must not let such a request take effect.
+	void abandonRequests() {
+		this.running.clear();
+	}
+
+	Set<String> runningKeys(long now) {
+		this.running.values().removeIf((end) -> now >= end);
+		return Set.copyOf(this.running.keySet());
 	}
 
 	Set<ShardId> serving(long now) {
