--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ShardPlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ShardPlanner.java
@@ -43,6 +43,14 @@
 	/** The churn budget per second as a part of the service's shards. */
 	private static final int CHURN_DIVISOR = 32;
 
+	/**
+	 * A target with this many times its share is overloaded, as after a cold start of all
+	 * others, so the budget rises.
+	 */
+	private static final double OVERLOAD = 2;
+
+	private static final int OVERLOAD_FACTOR = 4;
+
 	private final PlacementPolicy policy;
 
 	private final LoadBook loads;
@@ -75,7 +83,6 @@
 		if (!rebalance && unowned.isEmpty()) {
 			return;
 		}
-		int budget = rebalance ? Math.max(1, shards.size() / CHURN_DIVISOR) : 0;
 		if (rebalance) {
 			this.nextRebalance = now + REBALANCE_NANOS;
 			forget(shards);
@@ -85,11 +92,24 @@
 			.filter((target) -> !target.gate().isEmpty() || !view.shardsOf(target.spec().name()).isEmpty())
 			.map((target) -> this.weights.capacity(target, service, view, now))
 			.toList();
-		List<Move> moves = this.policy.plan(placed(shards, limits.wanted(), now), capacities, budget);
+		List<PlacedShard> placed = placed(shards, limits.wanted(), now);
+		int budget = rebalance ? budget(placed, capacities) : 0;
+		List<Move> moves = this.policy.plan(placed, capacities, budget);
 		assign(unowned, moves, targets, view, proposals);
 		release(moves, view, proposals);
 	}
 
+	private static int budget(List<PlacedShard> placed, List<TargetCapacity> capacities) {
+		Map<String, Double> loads = placed.stream()
+			.collect(Collectors.groupingBy(PlacedShard::owner, Collectors.summingDouble(PlacedShard::load)));
+		double total = placed.stream().mapToDouble(PlacedShard::load).sum();
+		List<TargetCapacity> takers = capacities.stream().filter(TargetCapacity::takesShards).toList();
+		double mean = total / takers.stream().mapToDouble(TargetCapacity::weight).sum();
+		boolean overload = takers.stream()
+			.anyMatch((target) -> loads.getOrDefault(target.name(), 0.0) > OVERLOAD * mean * target.weight());
+		return Math.max(1, placed.size() / CHURN_DIVISOR) * (overload ? OVERLOAD_FACTOR : 1);
+	}
+
 	private void evacuate(Collection<ShardState> shards, Map<String, TargetState> targets, ControlView view,
 			Proposals proposals) {
 		List<FencedShard> leaving = shards.stream()
