Cut single entries off from the leader in the fault test

Halving the wait before the removal of an entry went unnoticed by the fault test, since the leader was either out of reach of all entries or of none.

--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterFaultTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterFaultTests.java
@@ -77,7 +77,7 @@
 		FakeEntry entry = cluster.entries.get("e" + random.nextInt(3));
 		FakeTarget target = cluster.targets.get("t" + random.nextInt(6));
 		TargetSpec spec = target.spec;
-		switch (random.nextInt(10)) {
+		switch (random.nextInt(13)) {
 			case 0 -> entry.toggleRunning();
 			case 1 -> cluster.addEntry(entry.spec.name(), entry.spec.failureDomain());
 			case 2 -> target.freeze();
@@ -87,6 +87,7 @@
 			case 6 -> cluster.toggleLeader();
 			case 7 -> domain(cluster, spec.failureDomain(), random.nextBoolean() ? DomainState.OUT : DomainState.IN);
 			case 8 -> splitOrRelease(cluster, random);
+			case 9, 10, 11 -> entry.toggleConnected();
 			default -> entry.leave();
 		}
 	}
@@ -120,6 +121,9 @@
 			domain(cluster, name, DomainState.IN);
 		}
 		for (FakeEntry entry : List.copyOf(cluster.entries.values())) {
+			if (!entry.connected()) {
+				entry.toggleConnected();
+			}
 			if (!entry.running()) {
 				entry.toggleRunning();
 			}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/FakeEntry.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/FakeEntry.java
@@ -28,6 +28,8 @@
 
 	private boolean running = true;
 
+	private boolean connected = true;
+
 	boolean leaving;
 
 	long dispatched;
@@ -81,6 +83,15 @@
 		return (long) (this.cluster.now * this.clockRate);
 	}
 
+	/** Cuts the entry off from the leader, not from its targets, or ends that. */
+	void toggleConnected() {
+		this.connected = !this.connected;
+	}
+
+	boolean connected() {
+		return this.connected;
+	}
+
 	boolean running() {
 		return this.running;
 	}
@@ -152,7 +163,7 @@
 		EntryHeartbeat heartbeat = this.agent.heartbeat(
 				new GateReports(this.leaving, handedOver, List.of(), this.loads, this.hotKeys, Map.of()), clock());
 		this.cluster.later(() -> {
-			if (this.cluster.leaderReachable) {
+			if (this.cluster.leaderReachable && this.connected) {
 				EntryHeartbeatReply reply = this.cluster.controller.heartbeat(heartbeat, this.cluster.now);
 				this.cluster.later(() -> whileRunning(() -> this.agent.reply(reply, clock())));
 			}
