Pin the record encoding and refuse null components

Cause: commands are stored as they are encoded, so names and layout are a durable format; and a missing nested record would have reached the state machine as null.

Change: missing text, lists, maps and optionals decode as empty, numbers as 0, a missing record or constant is an error; map entries are ordered. The tests round-trip a value of every record of the core's interfaces by reflection, pin type names and one command's bytes, and flip 20,000 bytes.

--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/RecordCodec.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/RecordCodec.java
@@ -12,10 +12,12 @@
  *
  * <p>
  * A record is a map from component names to values. A value of a sealed interface is a
- * map with one field, whose name is the simple name of the record's class. Components
- * that are missing get their empty value (0, {@code false}, an empty string, list, map or
- * optional) and unknown ones are ignored, so components can be added. Components, type
- * names and enum constants must not be renamed. Immutable and thread safe.
+ * map with one field, whose name is the simple name of the record's class. Missing
+ * components get their empty value (0, {@code false}, an empty string, list, map or
+ * optional) and unknown ones are ignored, so components of these types can be added. A
+ * missing record or enum constant is an error; no decoded component is ever null.
+ * Components, type names and enum constants must not be renamed. Immutable and thread
+ * safe.
  *
  * @param <T> the type of the values, a record or a sealed interface of records
  */
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/CborMapper.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/CborMapper.java
@@ -1,10 +1,15 @@
 package org.redwingramp.wire.internal;
 
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
 import com.fasterxml.jackson.annotation.JsonSetter;
 import com.fasterxml.jackson.annotation.Nulls;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 
@@ -19,6 +24,11 @@
 	/** The longest field name; names are those of record components and map keys. */
 	static final int MAX_NAME_LENGTH = 4096;
 
+	private static final List<Class<?>> EMPTY_IF_MISSING = List.of(String.class, byte[].class, List.class, Map.class,
+			Optional.class);
+
+	private static final List<Class<?>> ZERO_IF_MISSING = List.of(int.class, long.class, double.class, boolean.class);
+
 	/** The mapper. */
 	public static final ObjectMapper INSTANCE = create();
 
@@ -30,13 +40,20 @@
 			.streamReadConstraints(
 					StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING).maxNameLength(MAX_NAME_LENGTH).build())
 			.build();
-		return CBORMapper.builder(factory)
+		CBORMapper.Builder builder = CBORMapper.builder(factory)
 			.annotationIntrospector(new SealedTypeIntrospector())
 			.addModule(new OptionalModule())
 			.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
 			.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-			.defaultSetterInfo(JsonSetter.Value.forValueNulls(Nulls.AS_EMPTY))
-			.build();
+			.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
+		builder.defaultSetterInfo(JsonSetter.Value.forValueNulls(Nulls.FAIL));
+		ZERO_IF_MISSING.forEach((type) -> ifMissing(builder, type, Nulls.SET));
+		EMPTY_IF_MISSING.forEach((type) -> ifMissing(builder, type, Nulls.AS_EMPTY));
+		return builder.build();
+	}
+
+	private static void ifMissing(CBORMapper.Builder builder, Class<?> type, Nulls nulls) {
+		builder.withConfigOverride(type, (override) -> override.setSetterInfo(JsonSetter.Value.forValueNulls(nulls)));
 	}
 
 }
