Test the store against crashes at each change, torn tails, flips and lost files

Cause: the durable state is trusted only as far as damage is noticed.

Change: hand-written file operations that fail from any change on, with a partial write; after each the reopened store must hold exactly the acknowledged batches, or those and the one in flight.

--- /dev/null
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/FaultTests.java
@@ -0,0 +1,246 @@
+package org.redwingramp.storage.internal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.redwingramp.core.consensus.PersistBatch;
+import org.redwingramp.core.consensus.StoredState;
+import org.redwingramp.storage.CorruptStorageException;
+import org.redwingramp.storage.ReplicaStore;
+import org.redwingramp.storage.Samples;
+import org.redwingramp.storage.StorageException;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+class FaultTests {
+
+	/** Small, so that a few batches fill several segments. */
+	private static final StoreLimits LIMITS = new StoreLimits(300, 10_000, 10_000);
+
+	private static final List<PersistBatch> HISTORY = List.of(Samples.vote(1), Samples.entries(1, 4),
+			Samples.entries(5, 9), Samples.vote(2), Samples.entries(10, 14), Samples.snapshot(8),
+			Samples.entries(15, 20), Samples.vote(3), Samples.entries(21, 24), Samples.snapshot(22),
+			Samples.entries(25, 26));
+
+	private final Random random = new Random(23);
+
+	@TempDir
+	private Path root;
+
+	// Guards against acknowledged state that is lost, and half-written state that is
+	// read, wherever a crash or a full disk stops the writing.
+	@Test
+	void shouldKeepExactlyWhatWasAcknowledgedWhereverWritingStops() throws Exception {
+		int total = run(this.root.resolve("whole"), Integer.MAX_VALUE, 0).changes();
+		assertThat(total).isGreaterThan(60);
+		for (int failAt = 1; failAt <= total; failAt++) {
+			for (int partial : new int[] { 0, 7, 40, Integer.MAX_VALUE }) {
+				Path folder = this.root.resolve(failAt + "-" + partial);
+				run(folder, failAt, partial);
+			}
+		}
+	}
+
+	private FaultyFiles run(Path folder, int failAt, int partial) throws StorageException {
+		FaultyFiles files = new FaultyFiles(failAt, partial);
+		int acknowledged = 0;
+		try (ReplicaStore store = FileReplicaStore.open(folder, Samples.NAME, this.random, files, LIMITS)) {
+			for (PersistBatch batch : HISTORY) {
+				store.persist(batch);
+				acknowledged++;
+			}
+		}
+		catch (StorageException ex) {
+			assertThat(ex).isNotInstanceOf(CorruptStorageException.class).hasMessageContaining("No space left");
+		}
+		int tried = Math.min(acknowledged + 1, HISTORY.size());
+		String found = Samples.describe(reopen(folder));
+		assertThat(found).as("stopped at change %d", failAt).isIn(expected(acknowledged), expected(tried));
+		assertThat(Samples.describe(reopen(folder))).isEqualTo(found);
+		return files;
+	}
+
+	private String expected(int batches) throws StorageException {
+		Path folder = this.root.resolve("expected-" + batches);
+		if (!Files.exists(folder)) {
+			try (ReplicaStore store = open(folder)) {
+				for (PersistBatch batch : HISTORY.subList(0, batches)) {
+					store.persist(batch);
+				}
+			}
+		}
+		return Samples.describe(reopen(folder));
+	}
+
+	// Guards against a store that goes on after a failed sync, when the disk may have
+	// dropped what was written.
+	@Test
+	void shouldRefuseUseAfterAFailedSync() throws Exception {
+		int changes = run(this.root.resolve("whole"), Integer.MAX_VALUE, 0).changes();
+		FaultyFiles files = new FaultyFiles(changes, 0);
+		try (ReplicaStore store = FileReplicaStore.open(this.root.resolve("failing"), Samples.NAME, this.random, files,
+				LIMITS)) {
+			assertThatExceptionOfType(StorageException.class).isThrownBy(() -> persistUntilFailure(store))
+				.withMessageContaining("No space left");
+			assertThatExceptionOfType(StorageException.class).isThrownBy(() -> store.persist(Samples.vote(9)))
+				.withMessageContaining("restart the replica");
+		}
+	}
+
+	private void persistUntilFailure(ReplicaStore store) throws StorageException {
+		for (long term = 1; term < 100; term++) {
+			store.persist(Samples.vote(term));
+		}
+	}
+
+	// Guards against a torn tail that stops the replica, and against an acknowledged
+	// batch that is taken for a torn tail.
+	@Test
+	void shouldTellATornTailFromALostBatchAtEachByte() throws Exception {
+		Path folder = history("log");
+		Path last = lastSegment(folder);
+		byte[] data = Files.readAllBytes(last);
+		byte[] mark = Files.readAllBytes(folder.resolve(StoreLayout.MARK));
+		try (ReplicaStore store = open(folder)) {
+			store.persist(Samples.entries(27, 30));
+		}
+		byte[] longer = Files.readAllBytes(last);
+		for (int size = data.length; size < longer.length; size++) {
+			Path lost = copy(folder, "lost-" + size);
+			Files.write(lost.resolve(last.getFileName()), Arrays.copyOf(longer, size));
+			assertCorrupt(lost, last);
+			Path torn = copy(lost, "torn-" + size);
+			Files.write(torn.resolve(StoreLayout.MARK), mark);
+			assertThat(reopen(torn).entries()).hasSize(4);
+			assertThat(Files.size(torn.resolve(last.getFileName()))).isEqualTo(data.length);
+		}
+	}
+
+	// Guards against a flipped bit that is read as state.
+	@Test
+	void shouldNoticeEachFlippedBit() throws Exception {
+		Path folder = history("flip");
+		for (String name : stateFiles(folder)) {
+			for (int i = 0; i < 300; i++) {
+				Path damaged = this.root.resolve("damaged");
+				delete(damaged);
+				copy(folder, "damaged");
+				byte[] data = Files.readAllBytes(damaged.resolve(name));
+				data[this.random.nextInt(data.length)] ^= (byte) (1 << this.random.nextInt(8));
+				Files.write(damaged.resolve(name), data);
+				assertCorrupt(damaged, damaged.resolve(name));
+			}
+		}
+	}
+
+	// Guards against a missing file that is read as a shorter history.
+	@Test
+	void shouldNoticeEachMissingFile() throws Exception {
+		Path folder = history("missing");
+		assertThat(stateFiles(folder)).hasSizeGreaterThan(4);
+		for (String name : stateFiles(folder)) {
+			Path damaged = copy(folder, "without-" + name);
+			Files.delete(damaged.resolve(name));
+			assertCorrupt(damaged, damaged.resolve(name));
+		}
+	}
+
+	// Guards against a log from a backup that is older than the snapshot beside it.
+	@Test
+	void shouldNoticeALogOlderThanItsSnapshot() throws Exception {
+		Path folder = history("current");
+		Path old = this.root.resolve("old");
+		try (ReplicaStore store = open(old)) {
+			store.persist(Samples.entries(1, 4));
+		}
+		Path snapshot = new StoreLayout(folder).snapshot(22);
+		Files.copy(snapshot, old.resolve(snapshot.getFileName()));
+		assertCorrupt(old, old.resolve(snapshot.getFileName()));
+	}
+
+	// Guards against a replica that votes again under its former incarnation after it
+	// lost its state, and against losing the damaged files.
+	@Test
+	void shouldResetUnderANewIncarnation() throws Exception {
+		Path folder = history("reset");
+		StoredState before = reopen(folder);
+		List<String> names = stateFiles(folder);
+		try (ReplicaStore store = ReplicaStore.reset(folder, Samples.NAME, this.random)) {
+			assertThat(store.load().blank()).isTrue();
+			assertThat(store.load().id().incarnation()).isNotEqualTo(before.id().incarnation());
+			store.persist(Samples.entries(1, 2));
+		}
+		assertThat(reopen(folder).entries()).hasSize(2);
+		assertThat(stateFiles(folder.resolve("damaged-1"))).isEqualTo(names);
+	}
+
+	private Path history(String name) throws StorageException {
+		Path folder = this.root.resolve(name);
+		try (ReplicaStore store = open(folder)) {
+			for (PersistBatch batch : HISTORY) {
+				store.persist(batch);
+			}
+		}
+		return folder;
+	}
+
+	private ReplicaStore open(Path folder) throws StorageException {
+		return FileReplicaStore.open(folder, Samples.NAME, this.random, new DiskFiles(), LIMITS);
+	}
+
+	private StoredState reopen(Path folder) throws StorageException {
+		try (ReplicaStore store = open(folder)) {
+			return store.load();
+		}
+	}
+
+	private void assertCorrupt(Path folder, Path file) {
+		assertThatExceptionOfType(CorruptStorageException.class).as(file.toString())
+			.isThrownBy(() -> reopen(folder))
+			.satisfies((ex) -> assertThat(ex.file().getParent()).isEqualTo(folder));
+	}
+
+	private static Path lastSegment(Path folder) throws IOException {
+		return stateFiles(folder).stream()
+			.filter((name) -> name.startsWith("segment-"))
+			.reduce((first, second) -> second)
+			.map(folder::resolve)
+			.orElseThrow();
+	}
+
+	private static List<String> stateFiles(Path folder) throws IOException {
+		List<String> names = new ArrayList<>(new DiskFiles().list(folder));
+		names.removeIf((name) -> name.equals(StoreLayout.LOCK) || name.startsWith(StoreLayout.DAMAGED));
+		return names;
+	}
+
+	private Path copy(Path folder, String name) throws IOException {
+		Path target = Files.createDirectories(this.root.resolve(name));
+		for (String file : stateFiles(folder)) {
+			Files.copy(folder.resolve(file), target.resolve(file), StandardCopyOption.REPLACE_EXISTING);
+		}
+		return target;
+	}
+
+	private static void delete(Path folder) throws IOException {
+		if (Files.exists(folder)) {
+			try (Stream<Path> files = Files.list(folder)) {
+				for (Path file : files.toList()) {
+					Files.delete(file);
+				}
+			}
+		}
+	}
+
+}
