Close the gaps that mutation trials found in the store's tests

Cause: of 14 mutants 7 survived. Two were equal to the original (the check of the mark was made twice; the mark was synced twice for each new segment), so that code is gone. For four others the tests now fail: a found tail that is not synced, use after a failed sync, a missing identity that overwrites the damaged files, no look for intact batches after damage.

Open: the comparison of a segment's header with the state before it; the sequence numbers of the batches find the same damage, unless the last segment is empty.

--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Recovery.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Recovery.java
@@ -92,7 +92,7 @@
 		while (offset < data.length) {
 			Optional<StoredBatch> batch = StoredBatch.decode(data, offset);
 			if (batch.isEmpty()) {
-				checkTorn(file, data, offset, last && offset >= synced);
+				checkTorn(file, data, offset, last);
 				break;
 			}
 			Optional<String> problem = this.replay.apply(batch.get());
@@ -103,7 +103,7 @@
 			offset += Block.sizeAt(data, offset);
 		}
 		if (offset < synced) {
-			throw StoreErrors.corrupt(file, offset, "acknowledged batches are missing at the end");
+			throw StoreErrors.corrupt(file, offset, "an acknowledged batch is damaged or missing");
 		}
 		this.segments.put(number, highest);
 		this.end = offset;
@@ -122,9 +122,9 @@
 		return Block.sizeAt(data, 0);
 	}
 
-	private void checkTorn(Path file, byte[] data, int offset, boolean mayBeTorn) throws CorruptStorageException {
-		if (!mayBeTorn) {
-			throw StoreErrors.corrupt(file, offset, "the checksum of an acknowledged batch doesn't match");
+	private void checkTorn(Path file, byte[] data, int offset, boolean last) throws CorruptStorageException {
+		if (!last) {
+			throw StoreErrors.corrupt(file, offset, "a batch is damaged although a later segment exists");
 		}
 		long expected = this.replay.state().sequence() + 1;
 		// A batch is written only after the one before it is synced, so an intact later
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/SegmentWriter.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/SegmentWriter.java
@@ -63,8 +63,9 @@
 	}
 
 	/**
-	 * Begins the next segment. Its header is synced before the segment gets its name, so
-	 * a named segment always has a header.
+	 * Begins the next segment. The mark is synced before, so that it lies at most one
+	 * segment behind. The header is synced before the segment gets its name, so that a
+	 * named segment always has a header.
 	 * @param id the replica
 	 * @param state the log's state
 	 * @throws IOException if the segment can't be created
@@ -75,8 +76,6 @@
 		this.number++;
 		this.offset = create(this.files, this.layout, new SegmentHeader(id, this.number, state));
 		this.segment = this.files.write(this.layout.segment(this.number));
-		moveMark();
-		this.mark.sync();
 	}
 
 	/**
--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/FaultTests.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/FaultTests.java
@@ -56,12 +56,14 @@
 			files.failAt(failAt);
 			int acknowledged = run(files, HISTORY);
 			List<String> allowed = expected.subList(acknowledged, Math.min(acknowledged + 2, expected.size()));
-			assertThat(reopen(files.afterCrash())).as("crash at change %d", failAt).isIn(allowed);
 			for (int i = 0; i < 200; i++) {
 				MemoryFiles left = files.afterPowerLoss(this.random);
 				assertThat(reopen(left)).as("loss of power at change %d, try %d", failAt, i).isIn(allowed);
-				assertThat(reopen(left.afterPowerLoss(this.random))).isIn(allowed);
 			}
+			files.recover();
+			String found = reopen(files);
+			assertThat(found).as("crash at change %d", failAt).isIn(allowed);
+			assertThat(reopen(files.afterPowerLoss(this.random))).as("loss of power after restart").isEqualTo(found);
 		}
 	}
 
@@ -101,6 +103,7 @@
 			files.failAt(files.changes() + 20);
 			assertThatExceptionOfType(StorageException.class).isThrownBy(() -> persistUntilFailure(store))
 				.withMessageContaining("No space left");
+			files.recover();
 			assertThatExceptionOfType(StorageException.class).isThrownBy(() -> store.persist(Samples.vote(9)))
 				.withMessageContaining("restart the replica");
 		}
@@ -152,6 +155,25 @@
 		}
 	}
 
+	// Guards against damage that is taken for a torn tail because the mark is behind the
+	// log, as a loss of power may leave it.
+	@Test
+	void shouldNoticeDamageBeforeAnIntactBatchWithoutTheMark() throws Exception {
+		Path folder = history("behind");
+		byte[] mark = Files.readAllBytes(folder.resolve(StoreLayout.MARK));
+		Path last = lastSegment(folder);
+		int first = (int) Files.size(last);
+		try (ReplicaStore store = ReplicaStore.open(folder, Samples.NAME, this.random)) {
+			store.persist(Samples.vote(7));
+			store.persist(Samples.vote(8));
+		}
+		byte[] data = Files.readAllBytes(last);
+		data[first + Block.OVERHEAD] ^= 1;
+		Files.write(last, data);
+		Files.write(folder.resolve(StoreLayout.MARK), mark);
+		assertCorrupt(folder, last);
+	}
+
 	// Guards against a missing file that is read as a shorter history.
 	@Test
 	void shouldNoticeEachMissingFile() throws Exception {
@@ -213,10 +235,20 @@
 		}
 	}
 
-	private void assertCorrupt(Path folder, Path file) {
+	private void assertCorrupt(Path folder, Path file) throws IOException {
+		String before = contents(folder);
 		assertThatExceptionOfType(CorruptStorageException.class).as(file.toString())
 			.isThrownBy(() -> reopen(folder))
 			.satisfies((ex) -> assertThat(ex.file().getParent()).isEqualTo(folder));
+		assertThat(contents(folder)).as("the damaged files stay as they are").isEqualTo(before);
+	}
+
+	private static String contents(Path folder) throws IOException {
+		StringBuilder contents = new StringBuilder();
+		for (String name : stateFiles(folder)) {
+			contents.append(name).append(Arrays.hashCode(Files.readAllBytes(folder.resolve(name)))).append(' ');
+		}
+		return contents.toString();
 	}
 
 	private static Path lastSegment(Path folder) throws IOException {
--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/MemoryFiles.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/MemoryFiles.java
@@ -46,14 +46,9 @@
 		return this.changes;
 	}
 
-	/**
-	 * Returns what a crash of the process leaves: everything written.
-	 * @return the disk after the crash
-	 */
-	MemoryFiles afterCrash() {
-		Map<Path, Content> left = new TreeMap<>();
-		this.names.forEach((path, content) -> left.put(path, new Content(content.live)));
-		return new MemoryFiles(left);
+	/** Lets changes work again, as after a crash of the process, which loses nothing. */
+	void recover() {
+		this.failAt = Integer.MAX_VALUE;
 	}
 
 	/**
