Accept a steady slow speed as normal after three windows

Cause: when all targets of a service slow down, no window is near the former normal speed, and each gate stays at one request for six windows. Change: three windows of equal speed are enough.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
@@ -31,7 +31,7 @@
 	private static final double WARMING_RATIO = 0.9;
 
 	/** Windows of equal speed after which that speed counts as the normal one. */
-	private static final int STEADY_WINDOWS = 6;
+	private static final int STEADY_WINDOWS = 3;
 
 	private static final int LONGEST_PAUSE = 8;
 
