Take back one step of the ramp after slow answers, all after failures

Cause: a single slow window returned the limit to 1, which wastes slots while many targets are slow. Change: a slow window takes back one step; a failure still returns to 1.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
@@ -106,7 +106,7 @@
 			watch(clamped, failed);
 		}
 		else if (failed) {
-			shrink();
+			shrink(1);
 		}
 		else if (this.window.full()) {
 			judge(this.window.mean());
@@ -146,7 +146,7 @@
 
 	private void slowWindow(double mean, boolean warming) {
 		if (this.limit > 1) {
-			shrink();
+			shrink(this.limit - 1);
 			return;
 		}
 		this.steadyWindows = (warming) ? 0 : this.steadyWindows + 1;
@@ -165,14 +165,11 @@
 		this.limit = Math.min(this.limit + 1, this.slots);
 	}
 
-	/**
-	 * Returns to 1 after growth that the target couldn't handle, and waits longer before
-	 * the next growth.
-	 */
-	private void shrink() {
+	// Waits longer before the next growth, since the target couldn't handle the last.
+	private void shrink(int newLimit) {
 		this.pause = Math.min(LONGEST_PAUSE, Math.max(1, 2 * this.pause));
 		this.pausedWindows = 0;
-		this.limit = 1;
+		this.limit = newLimit;
 		this.previousMean = 0;
 		this.window.clear();
 	}
