Measure losses, failure domains and moves away from stragglers

Cause: sharded services can only escape a straggler by moves, and losses had no figures. Change: the model moves slices by the real PlacementPolicy with the design's leases, commits and heartbeats.

--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/Measure.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/Measure.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.stream.Stream;
 
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -14,6 +15,7 @@
 import org.apache.commons.cli.ParseException;
 
 import org.redwingramp.bench.measure.Deployment;
+import org.redwingramp.bench.measure.FailureMeasures;
 import org.redwingramp.bench.measure.LoadMeasures;
 import org.redwingramp.bench.measure.Result;
 
@@ -50,7 +52,11 @@
 		long seed = Long.parseLong(line.getOptionValue("seed", DEFAULT_SEED));
 		int seconds = (line.hasOption("quick")) ? QUICK_SECONDS : SECONDS;
 		LoadMeasures load = new LoadMeasures(seed, seconds);
-		List<Callable<List<Result>>> cases = Deployment.ALL.stream().map(load::cases).flatMap(List::stream).toList();
+		FailureMeasures failures = new FailureMeasures(seed, 2 * seconds);
+		List<Callable<List<Result>>> cases = Deployment.ALL.stream()
+			.flatMap((deployment) -> Stream.of(failures.cases(deployment), load.cases(deployment)))
+			.flatMap(List::stream)
+			.toList();
 		run(cases).forEach((result) -> System.out.println(result.json()));
 	}
 
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/LoadMeasures.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/LoadMeasures.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.stream.IntStream;
 
 import org.redwingramp.bench.measure.Deployment.Service;
+import org.redwingramp.core.placement.PlacementPolicies;
 
 /**
  * Measures tail latency with slowed targets, overload and cold starts. Immutable and
@@ -71,10 +73,15 @@
 
 	private List<Result> tail(Deployment deployment, Service service, Safeguards safeguards, int slowed) {
 		ServiceModel model = new ServiceModel(deployment, service, safeguards, this.seed, WARM_UP);
+		if (service.sharded() && safeguards.choice()) {
+			new ShardMover(model, deployment, PlacementPolicies.balanced(), ShardMover.CHURN_BUDGET,
+					new SplittableRandom(this.seed))
+				.start();
+		}
 		model.time().at(WARM_UP / 2, () -> slow(model, slowed));
 		RunResult run = model.run(TAIL_LOAD * deployment.capacity(service), WARM_UP + this.measured);
 		String name = service.name() + " slowed=" + slowed + " " + safeguards.name();
-		Figures figures = new Figures(deployment, "tail-latency", name, run);
+		Figures figures = new Figures(deployment, "tail-latency", name, run, this.seed);
 		return List.of(figures.of("p50", run.millis(50), "ms"), figures.of("p99", run.millis(99), "ms"),
 				figures.of("p99.9", run.millis(99.9), "ms"), figures.of("answered", run.answeredShare(), "share"));
 	}
@@ -89,7 +96,7 @@
 		RunResult run = model.run(load * deployment.capacity(service), WARM_UP + this.measured);
 		double goodput = run.answered() * (double) VirtualTime.SECONDS / this.measured / deployment.capacity(service);
 		String name = service.name() + " load=" + load + " " + safeguards.name();
-		Figures figures = new Figures(deployment, "overload", name, run);
+		Figures figures = new Figures(deployment, "overload", name, run, this.seed);
 		return List.of(figures.of("goodput", goodput, "of capacity"),
 				figures.of("added load", run.addedLoad(), "share"),
 				figures.of("most running", model.mostRunning(), "requests"));
@@ -101,7 +108,7 @@
 		model.time().at(WARM_UP, () -> cold.targets(model).forEach((target) -> model.chill(target, told)));
 		RunResult run = model.run(COLD_LOAD * deployment.capacity(service), WARM_UP + this.measured);
 		String name = service.name() + " " + cold.name() + ((told) ? " told " : " sudden ") + safeguards.name();
-		Figures figures = new Figures(deployment, "cold-start", name, run);
+		Figures figures = new Figures(deployment, "cold-start", name, run, this.seed);
 		return List.of(figures.of("answered", run.answeredShare(), "share"),
 				figures.of("recovery", run.recovery(WARM_UP, RECOVERED) / (double) VirtualTime.SECONDS, "s"),
 				figures.of("failed by targets", model.failures(), "requests"),
@@ -116,28 +123,4 @@
 
 	}
 
-	private final class Figures {
-
-		private final Deployment deployment;
-
-		private final String measure;
-
-		private final String name;
-
-		private final RunResult run;
-
-		Figures(Deployment deployment, String measure, String name, RunResult run) {
-			this.deployment = deployment;
-			this.measure = measure;
-			this.name = name;
-			this.run = run;
-		}
-
-		Result of(String figure, double value, String unit) {
-			return new Result(this.deployment.name(), this.measure, this.name + " " + figure, value, unit,
-					this.run.requests(), LoadMeasures.this.seed);
-		}
-
-	}
-
 }
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ModelGate.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ModelGate.java
@@ -76,6 +76,10 @@
 		}
 	}
 
+	boolean started(long id) {
+		return this.startedAt.containsKey(id);
+	}
+
 	GateStatus status() {
 		return this.gate.status(this.time.now());
 	}
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ModelTarget.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ModelTarget.java
@@ -54,6 +54,8 @@
 
 	private int coldOverloads;
 
+	private long lastStart;
+
 	ModelTarget(VirtualTime time, RandomGenerator random, int slots) {
 		this.time = time;
 		this.random = random;
@@ -66,6 +68,7 @@
 	 * @param done receives the result; never invoked after a cancellation
 	 */
 	void serve(long id, Consumer<GateResult> done) {
+		this.lastStart = this.time.now();
 		if (this.down) {
 			return;
 		}
@@ -128,6 +131,10 @@
 		return this.mostRunning;
 	}
 
+	long lastStart() {
+		return this.lastStart;
+	}
+
 	int coldOverloads() {
 		return this.coldOverloads;
 	}
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ServiceModel.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ServiceModel.java
@@ -32,9 +32,6 @@
  */
 final class ServiceModel {
 
-	/** The number of slices of a sharded service. */
-	static final int SLICES = 256;
-
 	/** How old the figures of other entries' gates are that a choice rests on. */
 	static final long REPORT_PERIOD = 100 * VirtualTime.MILLIS;
 
@@ -74,7 +71,9 @@
 
 	private final RunResult result;
 
-	private final int[] owners;
+	private final ShardMap shards;
+
+	private final boolean[] available;
 
 	private final int[][] sentSinceReport;
 
@@ -95,7 +94,9 @@
 		this.hedges = (safeguards.hedges() && !service.sharded())
 				? HedgePolicies.quantile(HedgePolicies.DEFAULT_QUANTILE, this.budget) : HedgePolicies.none();
 		this.result = new RunResult(measuredFrom);
-		this.owners = IntStream.range(0, SLICES).map((slice) -> slice % service.targets()).toArray();
+		this.shards = new ShardMap(this.time, service.targets());
+		this.available = new boolean[service.targets()];
+		Arrays.fill(this.available, true);
 		this.sentSinceReport = new int[deployment.entries()][service.targets()];
 		IntStream.range(0, service.targets()).forEach((target) -> addTarget(seeds.split()));
 		report();
@@ -122,6 +123,72 @@
 		}
 	}
 
+	ModelGate gate(int target) {
+		return this.gates.get(target);
+	}
+
+	ShardMap shards() {
+		return this.shards;
+	}
+
+	Map<String, Double> slow() {
+		return this.detector.slow(this.time.now());
+	}
+
+	void available(int target, boolean chosen) {
+		this.available[target] = chosen;
+	}
+
+	/**
+	 * Ends all sends to a target whose loss is known.
+	 * @param target the target's index
+	 */
+	void lost(int target) {
+		sendsTo(target).forEach((send) -> {
+			ModelRequest request = this.sends.get(send);
+			boolean started = this.gates.get(target).started(send);
+			this.gates.get(target).end(send, GateResult.LOST);
+			if (started) {
+				ended(send, GateResult.LOST);
+			}
+			else {
+				resend(send, request);
+			}
+		});
+	}
+
+	/**
+	 * Takes a slice's waiting requests out of its former owner's queue.
+	 * @param slice the slice
+	 * @param target the former owner
+	 */
+	void withdraw(int slice, int target) {
+		sendsTo(target).stream()
+			.filter((send) -> this.sends.get(send).key == slice && !this.gates.get(target).started(send))
+			.forEach((send) -> {
+				this.gates.get(target).end(send, GateResult.NOT_SENT);
+				resend(send, this.sends.get(send));
+			});
+	}
+
+	boolean inFlight(int slice, int target) {
+		return sendsTo(target).stream()
+			.anyMatch((send) -> this.sends.get(send).key == slice && this.gates.get(target).started(send));
+	}
+
+	boolean sharded() {
+		return this.service.sharded();
+	}
+
+	private List<Long> sendsTo(int target) {
+		return this.sends.entrySet()
+			.stream()
+			.filter((send) -> send.getValue().open.getOrDefault(send.getKey(), -1) == target)
+			.map(Map.Entry::getKey)
+			.sorted()
+			.toList();
+	}
+
 	int mostRunning() {
 		return this.targets.stream().mapToInt(ModelTarget::mostRunning).max().orElse(0);
 	}
@@ -187,7 +254,7 @@
 				: (drawn < DEFERRABLE_SHARE + AT_MOST_ONCE_SHARE) ? RequestClass.AT_MOST_ONCE : RequestClass.IDEMPOTENT;
 		long now = this.time.now();
 		ModelRequest request = new ModelRequest(now, now + DEADLINE, requestClass,
-				this.random.nextInt(this.deployment.entries()), this.random.nextInt(SLICES));
+				this.random.nextInt(this.deployment.entries()), this.random.nextInt(ShardMap.SLICES));
 		this.result.arrived(now);
 		this.budget.requested();
 		this.time.after(this.deployment.callerNanos(), () -> {
@@ -203,7 +270,18 @@
 		}
 	}
 
+	private boolean waits(ModelRequest request) {
+		return this.service.sharded() && this.shards.blocked(request.key);
+	}
+
 	private void send(ModelRequest request) {
+		if (request.done) {
+			return;
+		}
+		if (waits(request)) {
+			this.shards.await(request.key, () -> send(request));
+			return;
+		}
 		Optional<Integer> chosen = choose(request);
 		if (chosen.isEmpty()) {
 			end(request, false, true);
@@ -218,18 +296,28 @@
 		this.result.attempted(request.arrival);
 		long answerBy = request.deadline - this.deployment.callerNanos() - this.deployment.hopNanos();
 		this.time.after(this.deployment.hopNanos(), () -> {
-			if (this.sends.containsKey(id)) {
+			if (waits(request) || (this.service.sharded() && this.shards.owner(request.key) != target)) {
+				resend(id, request);
+			}
+			else if (this.sends.containsKey(id)) {
 				this.gates.get(target).offer(id, request.requestClass, answerBy);
 			}
 		});
 	}
 
+	private void resend(long id, ModelRequest request) {
+		if (this.sends.remove(id) != null) {
+			request.open.remove(id);
+			send(request);
+		}
+	}
+
 	private Optional<Integer> choose(ModelRequest request) {
 		if (this.service.sharded()) {
-			return Optional.of(this.owners[request.key]);
+			return Optional.of(this.shards.owner(request.key));
 		}
 		List<Candidate> candidates = IntStream.range(0, this.service.targets())
-			.filter((target) -> !request.tried.contains(target))
+			.filter((target) -> this.available[target] && !request.tried.contains(target))
 			.mapToObj((target) -> candidate(request.entry, target))
 			.toList();
 		return this.chooser.choose(candidates).map(Integer::valueOf);
