--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/Measure.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/Measure.java
@@ -17,7 +17,9 @@
 import org.redwingramp.bench.measure.Deployment;
 import org.redwingramp.bench.measure.FailureMeasures;
 import org.redwingramp.bench.measure.LoadMeasures;
+import org.redwingramp.bench.measure.PlacementMeasures;
 import org.redwingramp.bench.measure.Result;
+import org.redwingramp.bench.measure.SlotMeasures;
 
 /**
  * Measures the routing and placement decisions in virtual time and prints one JSON line
@@ -52,9 +54,12 @@
 		long seed = Long.parseLong(line.getOptionValue("seed", DEFAULT_SEED));
 		int seconds = (line.hasOption("quick")) ? QUICK_SECONDS : SECONDS;
 		LoadMeasures load = new LoadMeasures(seed, seconds);
+		PlacementMeasures placement = new PlacementMeasures(seed);
+		SlotMeasures slots = new SlotMeasures(seed, 2 * seconds);
 		FailureMeasures failures = new FailureMeasures(seed, 2 * seconds);
 		List<Callable<List<Result>>> cases = Deployment.ALL.stream()
-			.flatMap((deployment) -> Stream.of(failures.cases(deployment), load.cases(deployment)))
+			.flatMap((deployment) -> Stream.of(placement.cases(deployment), slots.cases(deployment),
+					failures.cases(deployment), load.cases(deployment)))
 			.flatMap(List::stream)
 			.toList();
 		run(cases).forEach((result) -> System.out.println(result.json()));
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/Deployment.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/Deployment.java
@@ -24,12 +24,12 @@
 	/** The deployment of the burner service company. */
 	public static final Deployment GUATE_CENTRAL = new Deployment("guate-central",
 			List.of("zona-capital", "zona-mixco", "zona-villanueva"), 500 * VirtualTime.MICROS, 3 * VirtualTime.MILLIS,
-			3, 110, VirtualTime.MILLIS, 0, 9, new Service("taller-svc", 20, true), new Service("cobro-svc", 6, false));
+			3, 110, VirtualTime.MILLIS, 0, 10, new Service("taller-svc", 20, true), new Service("cobro-svc", 6, false));
 
 	/** The deployment of the hive stand works. */
 	public static final Deployment PIEDMONT = new Deployment("piedmont",
 			List.of("piedmont-a", "piedmont-b", "piedmont-c", "piedmont-d"), VirtualTime.MILLIS, 3 * VirtualTime.MILLIS,
-			6, 60, VirtualTime.MILLIS, 6 * VirtualTime.MILLIS, 9, new Service("catalog-desk", 25, true),
+			6, 60, VirtualTime.MILLIS, 6 * VirtualTime.MILLIS, 10, new Service("catalog-desk", 25, true),
 			new Service("freight-desk", 8, false));
 
 	/** Both deployments. */
--- /dev/null
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/GatedSlots.java
@@ -0,0 +1,110 @@
+package org.redwingramp.bench.measure;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.redwingramp.core.control.ControlTiming;
+import org.redwingramp.core.model.RequestClass;
+import org.redwingramp.core.routing.GateSettings;
+import org.redwingramp.core.routing.TargetGate;
+import org.redwingramp.core.routing.TargetGate.GateEffect;
+import org.redwingramp.core.routing.TargetGate.GateRequest;
+import org.redwingramp.core.routing.TargetGate.GateResult;
+import org.redwingramp.core.routing.TargetGates;
+
+/**
+ * One responsible gate: other entries forward to it. Not thread safe.
+ */
+final class GatedSlots implements SlotSharing {
+
+	private static final int QUEUE = 10_000;
+
+	private static final ControlTiming TIMING = ControlTiming.DEFAULT;
+
+	private final VirtualTime time;
+
+	private final Deployment deployment;
+
+	private final Sender sender;
+
+	private final Set<Long> waiting = new LinkedHashSet<>();
+
+	private final Set<Long> running = new HashSet<>();
+
+	private TargetGate gate;
+
+	private int gateEntry;
+
+	private boolean gateLost;
+
+	GatedSlots(VirtualTime time, Deployment deployment, Sender sender) {
+		this.time = time;
+		this.deployment = deployment;
+		this.sender = sender;
+		this.gate = newGate();
+	}
+
+	// Early refusal is off, since the comparison is about waiting.
+	private TargetGate newGate() {
+		TargetGate created = TargetGates.create(new GateSettings(this.deployment.slots(), QUEUE, true, false),
+				this.time.now());
+		created.open(true, this.time.now());
+		return created;
+	}
+
+	@Override
+	public void arrive(int entry, long id) {
+		if (this.gateLost && entry == this.gateEntry) {
+			return;
+		}
+		this.waiting.add(id);
+		this.time.after((entry == this.gateEntry) ? 0 : this.deployment.hopNanos(), () -> {
+			if (!this.gateLost) {
+				offer(id);
+			}
+		});
+	}
+
+	@Override
+	public void loseWorstEntry() {
+		this.gateLost = true;
+		this.running.clear();
+		long lease = TIMING.waitedNanos(TIMING.gateLeaseNanos()) - TIMING.entryHeartbeatNanos() / 2;
+		this.time.after(lease + TIMING.entryHeartbeatNanos() / 2, () -> {
+			this.gateLost = false;
+			this.gateEntry++;
+			this.gate = newGate();
+			List.copyOf(this.waiting).forEach(this::offer);
+		});
+	}
+
+	@Override
+	public int waiting() {
+		return this.waiting.size();
+	}
+
+	@Override
+	public long answerNanos() {
+		return 2 * this.deployment.hopNanos();
+	}
+
+	private void offer(long id) {
+		apply(this.gate.offer(new GateRequest(id, RequestClass.IDEMPOTENT, Long.MAX_VALUE / 2), this.time.now()));
+	}
+
+	private void apply(List<GateEffect> effects) {
+		effects.forEach((effect) -> {
+			long id = effect.id();
+			this.waiting.remove(id);
+			this.running.add(id);
+			this.sender.send(id, () -> {
+				if (this.running.remove(id)) {
+					apply(this.gate.finished(id, GateResult.ANSWERED, this.time.now()));
+				}
+			});
+		});
+	}
+
+}
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ModelTarget.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ModelTarget.java
@@ -127,6 +127,10 @@
 		this.warmth = 0;
 	}
 
+	int running() {
+		return this.running.size();
+	}
+
 	int mostRunning() {
 		return this.mostRunning;
 	}
--- /dev/null
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/PlacementMeasures.java
@@ -0,0 +1,83 @@
+package org.redwingramp.bench.measure;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import org.redwingramp.core.placement.PlacementPolicies;
+import org.redwingramp.core.placement.PlacementPolicy;
+
+/**
+ * Measures imbalance and churn over a series of events, for both deployments' sharded
+ * services. Immutable and thread safe; each case is a run of its own.
+ */
+public final class PlacementMeasures {
+
+	/** The design's time for a changed set of hot keys to be balanced again. */
+	private static final int MINUTE_ROUNDS = 60;
+
+	private final long seed;
+
+	/**
+	 * Creates the measures.
+	 * @param seed the seed of every run
+	 */
+	public PlacementMeasures(long seed) {
+		this.seed = seed;
+	}
+
+	/**
+	 * Returns the cases of one deployment.
+	 * @param deployment the deployment
+	 * @return the cases, independent of each other
+	 */
+	public List<Callable<List<Result>>> cases(Deployment deployment) {
+		return List.of(() -> series(deployment, PlacementPolicies.balanced(), ShardMover.CHURN_BUDGET, true, "all"),
+				() -> series(deployment, PlacementPolicies.plainHash(), Integer.MAX_VALUE, false, "baseline"));
+	}
+
+	private List<Result> series(Deployment deployment, PlacementPolicy policy, int budget, boolean split, String name) {
+		int targets = deployment.keyed().targets();
+		PlacedKeys keys = new PlacedKeys(policy, budget, split, targets, new SplittableRandom(this.seed));
+		Set<Integer> domain = IntStream.range(0, targets)
+			.filter((target) -> deployment.domain(target).equals(deployment.domains().get(0)))
+			.boxed()
+			.collect(Collectors.toSet());
+		List<Result> results = new ArrayList<>();
+		keys.settle(MINUTE_ROUNDS);
+		record(deployment, name + " first placement", keys, results);
+		keys.changeHotKeys();
+		results.add(result(deployment, "imbalance", name + " hot keys just changed", keys.imbalance(), "max/mean"));
+		keys.settle(MINUTE_ROUNDS);
+		record(deployment, name + " hot keys changed", keys, results);
+		event(deployment, name + " target lost", keys, Set.of(1), results);
+		event(deployment, name + " target returned", keys, Set.of(), results);
+		event(deployment, name + " domain out", keys, domain, results);
+		event(deployment, name + " domain returned", keys, Set.of(), results);
+		return results;
+	}
+
+	private void event(Deployment deployment, String name, PlacedKeys keys, Set<Integer> out, List<Result> results) {
+		keys.out(out);
+		keys.settle(MINUTE_ROUNDS);
+		record(deployment, name, keys, results);
+	}
+
+	private void record(Deployment deployment, String name, PlacedKeys keys, List<Result> results) {
+		results.add(result(deployment, "imbalance", name + " after a minute", keys.imbalance(), "max/mean"));
+		results.add(result(deployment, "churn", name + " keys moved", keys.churn(), "share of keys"));
+		results.add(result(deployment, "churn", name + " keys of the targets concerned", keys.concerned(),
+				"share of keys"));
+		keys.mark();
+	}
+
+	private Result result(Deployment deployment, String measure, String name, double value, String unit) {
+		return new Result(deployment.name(), measure, deployment.keyed().name() + " " + name, value, unit,
+				PlacedKeys.KEYS, this.seed);
+	}
+
+}
