--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/Measure.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/Measure.java
@@ -1,13 +1,15 @@
 package org.redwingramp.bench;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import java.util.stream.Stream;
+import java.util.function.Function;
 
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -37,6 +39,7 @@
 	private static final int THREADS = 4;
 
 	private static final Options OPTIONS = new Options().addOption(null, "quick", false, "short runs")
+		.addOption(null, "only", true, "the measures whose names contain this")
 		.addOption(null, "seed", true, "the seed of every run");
 
 	private Measure() {
@@ -44,7 +47,8 @@
 
 	/**
 	 * Runs all measures.
-	 * @param args {@code --quick} for short runs, {@code --seed N} for another seed
+	 * @param args {@code --quick} for short runs, {@code --seed N} for another seed,
+	 * {@code --only NAME} for one kind of measure
 	 * @throws ParseException if an argument is unknown or lacks its value
 	 * @throws InterruptedException if the run is interrupted
 	 * @throws ExecutionException if a case fails
@@ -53,18 +57,27 @@
 		CommandLine line = new DefaultParser().parse(OPTIONS, args);
 		long seed = Long.parseLong(line.getOptionValue("seed", DEFAULT_SEED));
 		int seconds = (line.hasOption("quick")) ? QUICK_SECONDS : SECONDS;
-		LoadMeasures load = new LoadMeasures(seed, seconds);
-		PlacementMeasures placement = new PlacementMeasures(seed);
-		SlotMeasures slots = new SlotMeasures(seed, 2 * seconds);
-		FailureMeasures failures = new FailureMeasures(seed, 2 * seconds);
-		List<Callable<List<Result>>> cases = Deployment.ALL.stream()
-			.flatMap((deployment) -> Stream.of(placement.cases(deployment), slots.cases(deployment),
-					failures.cases(deployment), load.cases(deployment)))
+		List<Callable<List<Result>>> cases = families(seed, seconds).entrySet()
+			.stream()
+			.filter((family) -> family.getKey().contains(line.getOptionValue("only", "")))
+			.flatMap((family) -> Deployment.ALL.stream().map(family.getValue()))
 			.flatMap(List::stream)
 			.toList();
 		run(cases).forEach((result) -> System.out.println(result.json()));
 	}
 
+	private static Map<String, Function<Deployment, List<Callable<List<Result>>>>> families(long seed, int seconds) {
+		LoadMeasures load = new LoadMeasures(seed, seconds);
+		Map<String, Function<Deployment, List<Callable<List<Result>>>>> families = new LinkedHashMap<>();
+		families.put("placement", new PlacementMeasures(seed)::cases);
+		families.put("failures", new FailureMeasures(seed, 2 * seconds)::cases);
+		families.put("tail-latency", load::tailCases);
+		families.put("overload", load::overloadCases);
+		families.put("cold-start", load::coldStartCases);
+		families.put("slots", new SlotMeasures(seed, 2 * seconds)::cases);
+		return families;
+	}
+
 	// The cases share nothing, so their order of execution doesn't change the results.
 	private static List<Result> run(List<Callable<List<Result>>> cases)
 			throws InterruptedException, ExecutionException {
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/LoadMeasures.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/LoadMeasures.java
@@ -30,6 +30,8 @@
 
 	private static final List<Double> LOADS = List.of(0.5, 1.0, 2.0, 4.0);
 
+	private static final List<Safeguards> SETUPS = List.of(Safeguards.ALL, Safeguards.NONE);
+
 	private final long seed;
 
 	private final long measured;
@@ -45,18 +47,40 @@
 	}
 
 	/**
-	 * Returns the cases of one deployment.
+	 * Returns the cases of tail latency.
+	 * @param deployment the deployment
+	 * @return the cases, independent of each other
+	 */
+	public List<Callable<List<Result>>> tailCases(Deployment deployment) {
+		List<Callable<List<Result>>> cases = new ArrayList<>();
+		deployment.services()
+			.forEach((service) -> SETUPS.forEach((safeguards) -> SLOWED
+				.forEach((slowed) -> cases.add(() -> tail(deployment, service, safeguards, slowed)))));
+		return cases;
+	}
+
+	/**
+	 * Returns the cases of overload.
+	 * @param deployment the deployment
+	 * @return the cases, independent of each other
+	 */
+	public List<Callable<List<Result>>> overloadCases(Deployment deployment) {
+		List<Callable<List<Result>>> cases = new ArrayList<>();
+		deployment.services()
+			.forEach((service) -> SETUPS.forEach((safeguards) -> LOADS
+				.forEach((load) -> cases.add(() -> overload(deployment, service, safeguards, load)))));
+		return cases;
+	}
+
+	/**
+	 * Returns the cases of cold starts.
 	 * @param deployment the deployment
 	 * @return the cases, independent of each other
 	 */
-	public List<Callable<List<Result>>> cases(Deployment deployment) {
+	public List<Callable<List<Result>>> coldStartCases(Deployment deployment) {
 		List<Callable<List<Result>>> cases = new ArrayList<>();
+		int domains = deployment.domains().size();
 		for (Service service : deployment.services()) {
-			for (Safeguards safeguards : List.of(Safeguards.ALL, Safeguards.NONE)) {
-				SLOWED.forEach((slowed) -> cases.add(() -> tail(deployment, service, safeguards, slowed)));
-				LOADS.forEach((load) -> cases.add(() -> overload(deployment, service, safeguards, load)));
-			}
-			int domains = deployment.domains().size();
 			addColdStarts(cases, deployment, service, new Cold("one target", 1, 1));
 			addColdStarts(cases, deployment, service,
 					new Cold("failure domain", (service.targets() + domains - 1) / domains, domains));
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ServiceModel.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ServiceModel.java
@@ -75,9 +75,7 @@
 
 	private final boolean[] available;
 
-	private final int[][] sentSinceReport;
-
-	private GateStatus[] reports;
+	private final EntryLoads loads;
 
 	private Set<String> ejected = Set.of();
 
@@ -97,7 +95,7 @@
 		this.shards = new ShardMap(this.time, service.targets());
 		this.available = new boolean[service.targets()];
 		Arrays.fill(this.available, true);
-		this.sentSinceReport = new int[deployment.entries()][service.targets()];
+		this.loads = new EntryLoads(deployment.entries(), service.targets());
 		IntStream.range(0, service.targets()).forEach((target) -> addTarget(seeds.split()));
 		report();
 		this.time.every(REPORT_PERIOD, this::report);
@@ -231,11 +229,10 @@
 	}
 
 	private void report() {
-		this.reports = this.gates.stream().map(ModelGate::status).toArray(GateStatus[]::new);
+		IntStream.range(0, this.deployment.entries())
+			.forEach((entry) -> IntStream.range(0, this.gates.size())
+				.forEach((target) -> this.loads.report(entry, target, this.gates.get(target).status())));
 		this.ejected = (this.safeguards.choice()) ? this.detector.ejected(this.time.now()) : Set.of();
-		for (int[] sent : this.sentSinceReport) {
-			Arrays.fill(sent, 0);
-		}
 	}
 
 	private void arrive(double rate, long end) {
@@ -292,7 +289,7 @@
 		request.tried.add(target);
 		request.open.put(id, target);
 		this.sends.put(id, request);
-		this.sentSinceReport[request.entry][target]++;
+		this.loads.sent(request.entry, target);
 		this.result.attempted(request.arrival);
 		long answerBy = request.deadline - this.deployment.callerNanos() - this.deployment.hopNanos();
 		this.time.after(this.deployment.hopNanos(), () -> {
@@ -307,7 +304,7 @@
 
 	private void resend(long id, ModelRequest request) {
 		if (this.sends.remove(id) != null) {
-			request.open.remove(id);
+			close(request, id);
 			send(request);
 		}
 	}
@@ -318,16 +315,17 @@
 		}
 		List<Candidate> candidates = IntStream.range(0, this.service.targets())
 			.filter((target) -> this.available[target] && !request.tried.contains(target))
-			.mapToObj((target) -> candidate(request.entry, target))
+			.mapToObj((target) -> this.loads.candidate(request.entry, target,
+					this.ejected.contains(Integer.toString(target))))
 			.toList();
 		return this.chooser.choose(candidates).map(Integer::valueOf);
 	}
 
-	private Candidate candidate(int entry, int target) {
-		String name = Integer.toString(target);
-		GateStatus report = this.reports[target];
-		int busy = report.inFlight() + report.waiting() + this.sentSinceReport[entry][target];
-		return new Candidate(name, report.limit(), busy, report.serviceNanos(), this.ejected.contains(name));
+	private void close(ModelRequest request, long id) {
+		Integer target = request.open.remove(id);
+		if (target != null) {
+			this.loads.ended(request.entry, target);
+		}
 	}
 
 	private void ended(long id, GateResult gateResult) {
@@ -335,8 +333,11 @@
 		if (request == null) {
 			return;
 		}
+		int target = request.open.getOrDefault(id, 0);
+		GateStatus status = this.gates.get(target).status();
 		this.time.after(this.deployment.hopNanos(), () -> {
-			request.open.remove(id);
+			close(request, id);
+			this.loads.report(request.entry, target, status);
 			if (request.done) {
 				return;
 			}
@@ -385,9 +386,9 @@
 	private void stopOpenSends(ModelRequest request, GateResult why) {
 		List.copyOf(request.open.entrySet()).forEach((open) -> {
 			this.sends.remove(open.getKey());
+			close(request, open.getKey());
 			this.time.after(this.deployment.hopNanos(), () -> this.gates.get(open.getValue()).end(open.getKey(), why));
 		});
-		request.open.clear();
 	}
 
 }
