Ignore answers from before a restart of the ramp

Cause: failures of requests that were in flight when a target turned cold delayed the next growth of the limit, though they ran under the former limit.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
@@ -61,6 +61,8 @@
 
 	private int pausedWindows;
 
+	private int restarts;
+
 	private boolean warm;
 
 	private boolean suspected;
@@ -80,7 +82,12 @@
 		return this.warm;
 	}
 
+	int restarts() {
+		return this.restarts;
+	}
+
 	void restart() {
+		this.restarts++;
 		this.window.clear();
 		this.previousMean = 0;
 		this.steadyWindows = 0;
--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/SlotGate.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/SlotGate.java
@@ -23,7 +23,7 @@
 
 	private final AdmissionQueue queue;
 
-	private final Map<Long, Long> startedAt = new HashMap<>();
+	private final Map<Long, Send> startedAt = new HashMap<>();
 
 	private double serviceNanos;
 
@@ -56,7 +56,7 @@
 		}
 		List<GateEffect> effects = new ArrayList<>(start(now));
 		if (canStart() && this.queue.size() == 0) {
-			this.startedAt.put(request.id(), now);
+			this.startedAt.put(request.id(), new Send(now, this.ramp.restarts()));
 			effects.add(new GateEffect.Start(request.id()));
 		}
 		else {
@@ -67,12 +67,12 @@
 
 	@Override
 	public List<GateEffect> finished(long id, GateResult result, long now) {
-		Long start = this.startedAt.remove(id);
-		if (start == null) {
+		Send send = this.startedAt.remove(id);
+		if (send == null) {
 			throw new IllegalArgumentException("request " + id + " finished at this gate but isn't in flight");
 		}
 		if (result == GateResult.ANSWERED || !result.healthy()) {
-			observe(now - start, !result.healthy());
+			observe(send, now - send.start(), !result.healthy());
 		}
 		return checked(start(now));
 	}
@@ -109,8 +109,12 @@
 				this.ramp.warm(), (long) this.serviceNanos);
 	}
 
-	private void observe(long nanos, boolean failed) {
-		this.ramp.add(nanos, failed);
+	private void observe(Send send, long nanos, boolean failed) {
+		// Answers to requests from before a restart of the ramp say nothing about the
+		// limit in force.
+		if (send.restarts() == this.ramp.restarts()) {
+			this.ramp.add(nanos, failed);
+		}
 		// A fast refusal by the target says nothing about how long the work takes.
 		double sample = (failed) ? Math.max(nanos, this.serviceNanos) : nanos;
 		this.serviceNanos += (this.serviceNanos == 0) ? sample : SMOOTHING * (sample - this.serviceNanos);
@@ -132,7 +136,7 @@
 				effects.add(new GateEffect.Refuse(id, Refusal.DEADLINE));
 			}
 			else {
-				this.startedAt.put(id, now);
+				this.startedAt.put(id, new Send(now, this.ramp.restarts()));
 				effects.add(new GateEffect.Start(id));
 			}
 		}
@@ -174,4 +178,13 @@
 		return effects;
 	}
 
+	/**
+	 * A started request.
+	 *
+	 * @param start when it started
+	 * @param restarts the restarts of the ramp until then
+	 */
+	private record Send(long start, int restarts) {
+	}
+
 }
--- a/redwingramp-core/src/test/java/org/redwingramp/core/routing/TargetGateTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/routing/TargetGateTests.java
@@ -175,6 +175,20 @@
 		assertThat(gate.status(this.now).limit()).isEqualTo(3);
 	}
 
+	/** Guards against late failures from before a restart that prolong the ramp. */
+	@Test
+	void shouldIgnoreAnswersFromBeforeARestartOfTheRamp() {
+		TargetGate gate = warm();
+		long first = this.nextId;
+		offerMany(gate, 3, RequestClass.IDEMPOTENT);
+		gate.cold(this.now);
+		for (long id = first; id < first + 3; id++) {
+			gate.finished(id, GateResult.FAILED, this.now);
+		}
+		answer(gate, 16, NORMAL);
+		assertThat(gate.status(this.now).limit()).isEqualTo(3);
+	}
+
 	/** Guards against cancelled requests that count as fast answers or as failures. */
 	@Test
 	void shouldLearnNothingFromCancelledRequests() {
