--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
@@ -31,7 +31,7 @@
 	private static final double WARMING_RATIO = 0.9;
 
 	/** Windows of equal speed after which that speed counts as the normal one. */
-	private static final int STEADY_WINDOWS = 6;
+	private static final int STEADY_WINDOWS = 3;
 
 	private static final int LONGEST_PAUSE = 8;
 
@@ -61,6 +61,8 @@
 
 	private int pausedWindows;
 
+	private int restarts;
+
 	private boolean warm;
 
 	private boolean suspected;
@@ -80,7 +82,12 @@
 		return this.warm;
 	}
 
+	int restarts() {
+		return this.restarts;
+	}
+
 	void restart() {
+		this.restarts++;
 		this.window.clear();
 		this.previousMean = 0;
 		this.steadyWindows = 0;
@@ -106,7 +113,7 @@
 			watch(clamped, failed);
 		}
 		else if (failed) {
-			shrink();
+			shrink(1);
 		}
 		else if (this.window.full()) {
 			judge(this.window.mean());
@@ -146,7 +153,7 @@
 
 	private void slowWindow(double mean, boolean warming) {
 		if (this.limit > 1) {
-			shrink();
+			shrink(this.limit - 1);
 			return;
 		}
 		this.steadyWindows = (warming) ? 0 : this.steadyWindows + 1;
@@ -165,14 +172,11 @@
 		this.limit = Math.min(this.limit + 1, this.slots);
 	}
 
-	/**
-	 * Returns to 1 after growth that the target couldn't handle, and waits longer before
-	 * the next growth.
-	 */
-	private void shrink() {
+	// Waits longer before the next growth, since the target couldn't handle the last.
+	private void shrink(int newLimit) {
 		this.pause = Math.min(LONGEST_PAUSE, Math.max(1, 2 * this.pause));
 		this.pausedWindows = 0;
-		this.limit = 1;
+		this.limit = newLimit;
 		this.previousMean = 0;
 		this.window.clear();
 	}
