Name the run of the target in each grant

Cause: a lease is a reading of one run's clock; a restarted target with a higher clock would have held a former run's lease for too long (found by the control fault test). Ruled out: relying on the epoch alone, since a gate may learn of the new run late. Conclusion: the field of the core now reaches the target.

--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/JettyGrantSender.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/JettyGrantSender.java
@@ -62,6 +62,7 @@
 		ObjectNode body = this.json.createObjectNode();
 		body.put("gate", grant.gate());
 		body.put("epoch", grant.epoch());
+		body.put("bootId", grant.bootId());
 		body.put("leaseUntil", grant.leaseUntilMillis());
 		ArrayNode shards = body.putArray("shards");
 		grant.shards()
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/SampleValues.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/SampleValues.java
@@ -61,7 +61,7 @@
 		return switch (type.getSimpleName()) {
 			case "String" -> "text-" + this.counter;
 			case "int" -> -this.counter;
-			case "long" -> (1L << 40) + this.counter;
+			case "long", "Long" -> (1L << 40) + this.counter;
 			case "double", "Double" -> 0.1 + this.counter;
 			case "boolean" -> true;
 			case "byte[]" -> new byte[] { (byte) this.counter, -1, 0 };
