--- /dev/null
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/placement/BalancedPolicyTests.java
@@ -0,0 +1,101 @@
+package org.redwingramp.core.placement;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.redwingramp.core.model.ShardId;
+import org.redwingramp.core.placement.PlacementPolicy.Move;
+import org.redwingramp.core.placement.PlacementPolicy.PlacedShard;
+import org.redwingramp.core.placement.PlacementPolicy.Reason;
+import org.redwingramp.core.placement.PlacementPolicy.TargetCapacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against an imbalance above the bound of the design page, needless moves and
+ * moves onto targets that take no shards.
+ */
+class BalancedPolicyTests {
+
+	private static final double BOUND = 1.10;
+
+	/** The page asks for the fewest moves; a greedy plan may need up to twice as many. */
+	private static final double MOST_MOVES = 2;
+
+	private final PlacementPolicy policy = PlacementPolicies.balanced();
+
+	@ParameterizedTest
+	@CsvSource({ "20,256,0", "20,256,0.8", "25,256,0", "25,256,0.8", "200,2048,0" })
+	void shouldStayBalancedWithFewMovesWhenADomainLeavesAndReturns(int targets, int slices, double exponent) {
+		PlacementModel model = new PlacementModel(this.policy, slices, targets);
+		load(model, exponent, 1);
+		List<TargetCapacity> all = PlacementModel.capacities(0, targets);
+		model.settle(all, slices / 32);
+		settle(model, PlacementModel.capacities(targets / 4, targets), slices / 32);
+		settle(model, all, slices / 32);
+		load(model, exponent, 2);
+		settle(model, all, slices / 32);
+	}
+
+	private static void load(PlacementModel model, double exponent, long seed) {
+		if (exponent == 0) {
+			model.uniform(seed);
+		}
+		else {
+			model.zipf(exponent, seed);
+		}
+	}
+
+	private static void settle(PlacementModel model, List<TargetCapacity> capacities, int budget) {
+		int least = model.lowerBound(capacities);
+		assertThat(model.settle(capacities, budget)).isLessThanOrEqualTo((int) (MOST_MOVES * least));
+		assertThat(model.imbalance(capacities)).isLessThanOrEqualTo(BOUND);
+	}
+
+	private static PlacedShard shard(int slice, String owner, double load, String pin) {
+		return new PlacedShard(ShardId.slice("svc", slice), owner, load, pin);
+	}
+
+	private static TargetCapacity target(String name, boolean takes, double weight) {
+		return new TargetCapacity(name, "d", takes, weight);
+	}
+
+	@Test
+	void shouldMoveShardsOffTargetsThatTakeNoneWithoutALimit() {
+		List<Move> moves = this.policy.plan(
+				List.of(shard(0, "t1", 1, ""), shard(1, "t1", 1, ""), shard(2, "", 1, ""), shard(3, "t1", 1, "t1")),
+				List.of(target("t1", false, 1), target("t2", true, 1), target("t3", true, 1)), 0);
+		assertThat(moves).hasSize(4).noneMatch((move) -> move.destination().equals("t1"));
+		assertThat(moves.get(0).reason()).isEqualTo(Reason.UNOWNED);
+		assertThat(moves.stream().filter((move) -> move.destination().equals("t2"))).hasSize(2);
+	}
+
+	@Test
+	void shouldFollowPinsAndKeepPinnedShardsUnderLoad() {
+		List<TargetCapacity> targets = List.of(target("t1", true, 1), target("t2", true, 1));
+		assertThat(this.policy.plan(List.of(shard(0, "t1", 1, "t2")), targets, 0))
+			.containsExactly(new Move(ShardId.slice("svc", 0), "t1", "t2", Reason.PIN));
+		assertThat(this.policy.plan(List.of(shard(0, "t1", 9, "t1"), shard(1, "t1", 9, "t1")), targets, 9)).isEmpty();
+	}
+
+	@Test
+	void shouldPlanNothingWithoutATargetAndNoMoreThanTheBudget() {
+		PlacementModel model = new PlacementModel(this.policy, 64, 1);
+		model.uniform(1);
+		assertThat(this.policy.plan(model.placed(), List.of(), 10)).isEmpty();
+		model.settle(PlacementModel.capacities(0, 1), 0);
+		assertThat(this.policy.plan(model.placed(), PlacementModel.capacities(0, 8), 3)).hasSize(3);
+	}
+
+	@Test
+	void shouldGiveATargetThatHasJustReturnedItsWeightOnly() {
+		PlacementModel model = new PlacementModel(this.policy, 64, 2);
+		model.uniform(1);
+		model.settle(List.of(target("t1", true, 1), target("t2", true, 1), target("t3", true, 0.1)), 64);
+		assertThat(model.owners.values().stream().filter("t3"::equals)).hasSizeBetween(1, 4);
+	}
+
+}
