Run the replicated log under random faults

Cause: hand-written cases don't reach the orders of messages, pauses, crashes and disk losses that break a consensus. Ruled out: letting blank replicas vote, since a blank replica may have lost its disk. Change: scripts/soak with an append machine; a candidate repeats the end of formation as long as it holds the first entry, not only while that is the last one (regression test shouldFinishFormationAfterTheFirstLeaderWasLost).

--- /dev/null
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/Soak.java
@@ -0,0 +1,97 @@
+package org.redwingramp.bench;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.LongStream;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+import org.redwingramp.bench.soak.Round;
+
+/**
+ * Runs the decision library under random faults and prints what was violated. The output
+ * depends on the seed and the number of rounds only. Stateless and thread safe.
+ */
+public final class Soak {
+
+	/** Spreads consecutive round numbers over all seeds (golden ratio of 2^64). */
+	private static final long SEED_STEP = 0x9e3779b97f4a7c15L;
+
+	private Soak() {
+	}
+
+	/**
+	 * Runs the rounds.
+	 * @param arguments the arguments {@code --seed N --rounds M}, or
+	 * {@code --round-seed N} to repeat one round
+	 */
+	public static void main(String[] arguments) {
+		Options options = new Options().addOption(number("seed", "seed of the run"))
+			.addOption(number("rounds", "number of independent rounds"))
+			.addOption(number("round-seed", "repeat the one round with this seed"));
+		try {
+			CommandLine line = new DefaultParser().parse(options, arguments);
+			System.exit(run(line, System.out) ? 0 : 1);
+		}
+		catch (ParseException | NumberFormatException ex) {
+			System.err.println("soak: " + ex.getMessage() + "; use --seed N --rounds M or --round-seed N");
+			System.exit(2);
+		}
+	}
+
+	private static boolean run(CommandLine line, PrintStream out) {
+		if (line.hasOption("round-seed")) {
+			return report(List.of(Round.run(Long.parseLong(line.getOptionValue("round-seed")))), out);
+		}
+		long seed = Long.parseLong(line.getOptionValue("seed", "1"));
+		long rounds = Long.parseLong(line.getOptionValue("rounds", "20"));
+		out.println("seed " + seed);
+		return report(rounds(seed, rounds), out);
+	}
+
+	/**
+	 * Runs independent rounds, several at the same time.
+	 * @param seed the seed of the run
+	 * @param rounds the number of rounds
+	 * @return the results in order of the rounds
+	 */
+	public static List<Round.Result> rounds(long seed, long rounds) {
+		return LongStream.range(0, rounds).parallel().mapToObj((round) -> Round.run(roundSeed(seed, round))).toList();
+	}
+
+	private static long roundSeed(long seed, long round) {
+		long mixed = (seed * 31 + round + 1) * SEED_STEP;
+		return (mixed ^ (mixed >>> 32)) & Long.MAX_VALUE;
+	}
+
+	private static boolean report(List<Round.Result> results, PrintStream out) {
+		Map<String, Long> faults = new TreeMap<>();
+		results.forEach((result) -> result.faults().forEach((kind, count) -> faults.merge(kind, count, Long::sum)));
+		List<Round.Result> violated = results.stream().filter((result) -> !result.violations().isEmpty()).toList();
+		violated.forEach((result) -> describe(result, out));
+		out.println("rounds " + results.size());
+		out.println("events " + results.stream().mapToLong(Round.Result::events).sum());
+		out.println("committed entries " + results.stream().mapToLong(Round.Result::committed).sum());
+		out.println("faults " + faults.values().stream().mapToLong(Long::longValue).sum());
+		faults.forEach((kind, count) -> out.println("  " + kind + " " + count));
+		out.println("violations " + violated.stream().mapToLong((result) -> result.violations().size()).sum());
+		return violated.isEmpty();
+	}
+
+	private static void describe(Round.Result result, PrintStream out) {
+		result.violations()
+			.forEach((what) -> out.println("violation in the round with seed " + result.seed() + ": " + what));
+		result.trace().forEach((line) -> out.println("  " + line));
+	}
+
+	private static Option number(String name, String description) {
+		return Option.builder().longOpt(name).hasArg().desc(description).get();
+	}
+
+}
--- /dev/null
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Randomised deterministic runs of the decision library under faults.
+ */
+package org.redwingramp.bench.soak;
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Election.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Election.java
@@ -119,15 +119,16 @@
 			.forEach((voter) -> this.context.send(voter, request));
 	}
 
-	// Repeats the end of formation for members that missed it: while only the first entry
-	// exists, blank replicas give no votes and nobody may lead.
+	// Repeats the end of formation for members that missed it, since a blank replica
+	// gives
+	// no vote. It may still be missed after a leader was elected by the others and lost.
 	private void tellBlankReplicas() {
-		if (lastIndex() == 1) {
-			group().voters()
+		this.context.log()
+			.formation()
+			.ifPresent((formed) -> formed.voters()
 				.stream()
 				.filter((voter) -> !voter.equals(this.context.id()))
-				.forEach((voter) -> this.context.send(voter, new FormCommit(0, group())));
-		}
+				.forEach((voter) -> this.context.send(voter, new FormCommit(0, formed))));
 	}
 
 	private boolean grantsSuffice() {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/consensus/ElectionTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/consensus/ElectionTests.java
@@ -43,6 +43,20 @@
 		group.until("leader", (all) -> !all.leaders().isEmpty());
 	}
 
+	@Test
+	void shouldFinishFormationAfterTheFirstLeaderWasLost() {
+		TestGroup group = new TestGroup(1, "a", "b", "c");
+		ReplicaId late = group.node("c").id();
+		group.loses = (message) -> message.receiver().equals(late)
+				&& !(message.message() instanceof PeerMessage.FormOffer);
+		group.until("leader", (all) -> all.leaders().stream().anyMatch(all::reads));
+		assertThat(group.node("c").replica.role()).isEqualTo(Role.BLANK);
+		TestNode lost = group.leader();
+		group.replaceDisk(lost.id().name());
+		group.loses = (message) -> false;
+		group.until("leader after the loss", (all) -> all.leaders().stream().anyMatch(all::reads));
+	}
+
 	@Test
 	void shouldFormAGroupOfOne() {
 		TestGroup group = TestGroup.formed(1, "a");
