Add idle times, partial partitions and quick restarts to the soak

Cause: without idle times a replica that misses messages always has an older log, so removing the refusal of votes while a leader is heard showed no violation.

--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/AppendWorkload.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/AppendWorkload.java
@@ -17,10 +17,15 @@
 	/** Above one chunk of a snapshot transfer. */
 	private static final int PADDING_BYTES = 600 * 1024;
 
+	/** Large enough to divide the entries of one replica among several appends. */
+	private static final int LARGE_BYTES = 300 * 1024;
+
 	private final World world;
 
 	private final Set<Long> acknowledged = new HashSet<>();
 
+	private long quietUntil;
+
 	private long next;
 
 	private long lastAcknowledged;
@@ -36,7 +41,7 @@
 
 	@Override
 	public void start() {
-		this.world.simulation().every(INTERVAL_MILLIS, this::propose);
+		this.world.simulation().every(INTERVAL_MILLIS, this::proposeUnlessQuiet);
 	}
 
 	@Override
@@ -67,10 +72,24 @@
 		}
 	}
 
+	// Without pauses, a replica that misses messages always has an older log, so its log
+	// alone would keep it from being elected and other safeguards wouldn't be tried.
+	private void proposeUnlessQuiet() {
+		Simulation simulation = this.world.simulation();
+		if (simulation.now() < this.quietUntil) {
+			return;
+		}
+		if (simulation.chance(0.01)) {
+			this.quietUntil = simulation.now() + simulation.between(200, 1500);
+		}
+		propose();
+	}
+
 	private void propose() {
 		ReplicaProcess process = this.world.proposalReceiver();
 		long number = ++this.next;
-		byte[] command = ByteBuffer.allocate(Long.BYTES + this.world.simulation().random().nextInt(2000))
+		int bound = this.world.simulation().chance(0.01) ? LARGE_BYTES : 2000;
+		byte[] command = ByteBuffer.allocate(Long.BYTES + this.world.simulation().random().nextInt(bound))
 			.putLong(number)
 			.array();
 		long wall = this.world.simulation().nowMillis() + this.world.simulation().random().nextInt(2000);
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/FaultPlan.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/FaultPlan.java
@@ -54,7 +54,7 @@
 
 	private void inject() {
 		ReplicaProcess process = pick();
-		switch (this.random.nextInt(12)) {
+		switch (this.random.nextInt(14)) {
 			case 0, 1 -> crash(process);
 			case 2 -> loseDisk(process);
 			case 3, 4 -> pause(process);
@@ -63,6 +63,8 @@
 			case 7 -> weather();
 			case 8 -> heal();
 			case 9 -> crashAll();
+			case 10 -> cutPair(process, pick());
+			case 11 -> restartBetweenCutReplicas();
 			default -> this.world.workload().injectFault();
 		}
 	}
@@ -138,6 +140,28 @@
 		healLater();
 	}
 
+	private void cutPair(ReplicaProcess one, ReplicaProcess other) {
+		this.world.trace().fault("partial partition", one.name() + " and " + other.name());
+		this.world.network().cut(one.name(), other.name());
+		this.world.network().cut(other.name(), one.name());
+		healLater();
+	}
+
+	// The third replica still hears the leader, forgets that by a restart, and is asked
+	// for its vote by the replica that doesn't hear the leader.
+	private void restartBetweenCutReplicas() {
+		int first = this.random.nextInt(3);
+		cutPair(this.world.replicas().get(first), this.world.replicas().get((first + 1) % 3));
+		ReplicaProcess third = this.world.replicas().get((first + 2) % 3);
+		this.world.simulation().after(this.world.simulation().between(100, 450), () -> {
+			if (third.running()) {
+				this.world.trace().fault("quick restart", third.name());
+				third.stop();
+				this.world.simulation().after(this.world.simulation().between(1, 20), third::start);
+			}
+		});
+	}
+
 	private void weather() {
 		this.world.trace().fault("bad network");
 		this.world.network()
