Let a late member join a formed group after another member's disk was lost

Ruled out: accepting any end of formation; a late message of a lost incarnation may tell of a group that never started. Change: the sender must not be a replaced incarnation; other members of the group may be. Conclusion: the sender is what tells a live group from an abandoned one.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Formation.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Formation.java
@@ -90,10 +90,10 @@
 		}
 	}
 
-	void handle(FormCommit message) {
+	void handle(ReplicaId sender, FormCommit message) {
 		Membership group = message.membership();
-		boolean agreed = this.promised.map(group.clusterId()::equals).orElseGet(() -> !contradictsSeen(group));
-		if (includesSelf(group) && agreed) {
+		boolean agreed = this.promised.map(group.clusterId()::equals).orElseGet(() -> !replaced(sender));
+		if (includesSelf(group) && group.voters().contains(sender) && agreed) {
 			adopt(group);
 		}
 	}
@@ -102,9 +102,10 @@
 		return this.context.log().blank() && group.voters().contains(this.context.id());
 	}
 
-	// Refuses a group with an incarnation whose disk is known to be lost.
-	private boolean contradictsSeen(Membership group) {
-		return group.voters().stream().anyMatch((voter) -> !this.seen.getOrDefault(voter.name(), voter).equals(voter));
+	// A late message of an incarnation whose disk is lost since tells of a group that may
+	// never have started. Any other member that adopted a group stays in it.
+	private boolean replaced(ReplicaId sender) {
+		return !this.seen.getOrDefault(sender.name(), sender).equals(sender);
 	}
 
 	private void finishIfUnanimous() {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/ReplicaCore.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/ReplicaCore.java
@@ -250,7 +250,7 @@
 			this.formation.handle(sender, accept);
 		}
 		else if (message instanceof FormCommit commit) {
-			this.formation.handle(commit);
+			this.formation.handle(sender, commit);
 		}
 	}
 
--- a/redwingramp-core/src/test/java/org/redwingramp/core/consensus/ElectionTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/consensus/ElectionTests.java
@@ -57,6 +57,20 @@
 		group.until("leader after the loss", (all) -> all.leaders().stream().anyMatch(all::reads));
 	}
 
+	@Test
+	void shouldFinishFormationAfterTheLateMemberRestartedAndSawTheLoss() {
+		TestGroup group = new TestGroup(1, "a", "b", "c");
+		ReplicaId late = group.node("c").id();
+		group.loses = (message) -> message.receiver().equals(late)
+				&& !(message.message() instanceof PeerMessage.FormOffer);
+		group.until("leader", (all) -> all.leaders().stream().anyMatch(all::reads));
+		group.replaceDisk(group.leader().id().name());
+		group.restart(group.node("c"));
+		group.run(300);
+		group.loses = (message) -> false;
+		group.until("leader after the loss", (all) -> all.leaders().stream().anyMatch(all::reads));
+	}
+
 	@Test
 	void shouldFormAGroupOfOne() {
 		TestGroup group = TestGroup.formed(1, "a");
