Run the control state, entries and targets in the soak

Cause: ownership, fences and the ledger are only as safe as their use across elections, pauses and lost answers, which single-process tests don't reach. Ruled out: encoding the commands in the simulation; a table of objects stands for the codec. Change: odd round seeds run the control state with controllers, entry agents, targets that freeze, restart cold or leave, racing and resending operators, and callers who resend through other entries. Checked: one serving owner of a shard at any time, rising fences, gate epochs and revisions, no second run of an at-most-once request, truthful not-run answers, nothing acknowledged lost.

--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/Soak.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/Soak.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.stream.LongStream;
 
 import org.apache.commons.cli.CommandLine;
@@ -71,19 +72,27 @@
 	}
 
 	private static boolean report(List<Round.Result> results, PrintStream out) {
-		Map<String, Long> faults = new TreeMap<>();
-		results.forEach((result) -> result.faults().forEach((kind, count) -> faults.merge(kind, count, Long::sum)));
+		Map<String, Long> work = sum(results, Round.Result::work);
+		Map<String, Long> faults = sum(results, Round.Result::faults);
 		List<Round.Result> violated = results.stream().filter((result) -> !result.violations().isEmpty()).toList();
 		violated.forEach((result) -> describe(result, out));
 		out.println("rounds " + results.size());
 		out.println("events " + results.stream().mapToLong(Round.Result::events).sum());
 		out.println("committed entries " + results.stream().mapToLong(Round.Result::committed).sum());
+		work.forEach((kind, count) -> out.println("  " + kind + " " + count));
 		out.println("faults " + faults.values().stream().mapToLong(Long::longValue).sum());
 		faults.forEach((kind, count) -> out.println("  " + kind + " " + count));
 		out.println("violations " + violated.stream().mapToLong((result) -> result.violations().size()).sum());
 		return violated.isEmpty();
 	}
 
+	private static Map<String, Long> sum(List<Round.Result> results,
+			Function<Round.Result, Map<String, Long>> numbers) {
+		Map<String, Long> sums = new TreeMap<>();
+		results.forEach((result) -> numbers.apply(result).forEach((kind, count) -> sums.merge(kind, count, Long::sum)));
+		return sums;
+	}
+
 	private static void describe(Round.Result result, PrintStream out) {
 		result.violations()
 			.forEach((what) -> out.println("violation in the round with seed " + result.seed() + ": " + what));
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/AppendWorkload.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/AppendWorkload.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 
 import org.redwingramp.core.consensus.LogEntry;
@@ -65,6 +66,11 @@
 				: "no append was acknowledged since the faults ended";
 	}
 
+	@Override
+	public Map<String, Long> work() {
+		return Map.of("appends acknowledged", (long) this.acknowledged.size());
+	}
+
 	private void burst() {
 		this.world.trace().fault("burst of proposals");
 		for (int i = 0; i < 150; i++) {
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/Round.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/Round.java
@@ -24,12 +24,13 @@
 	}
 
 	/**
-	 * Runs a round.
+	 * Runs a round: with the append machine for an even seed, with the control state for
+	 * an odd one.
 	 * @param seed the seed, which alone determines the run
 	 * @return what happened
 	 */
 	public static Result run(long seed) {
-		return run(seed, AppendWorkload::new);
+		return ((seed & 1) == 0) ? run(seed, AppendWorkload::new) : run(seed, ControlWorkload::new);
 	}
 
 	static Result run(long seed, Function<World, Workload> workloads) {
@@ -49,7 +50,8 @@
 			world.trace().violation("no progress after the faults ended: " + missing(world));
 		}
 		return new Result(seed, simulation.events(), world.replicaChecks().committedEntries(),
-				Map.copyOf(world.trace().faults()), world.trace().violations(), world.trace().lines());
+				Map.copyOf(world.workload().work()), Map.copyOf(world.trace().faults()), world.trace().violations(),
+				world.trace().lines());
 	}
 
 	private static String missing(World world) {
@@ -72,12 +74,13 @@
 	 * @param seed the round's seed
 	 * @param events the number of events
 	 * @param committed the number of committed entries
+	 * @param work what the workload did, by kind
 	 * @param faults the number of faults by kind
 	 * @param violations the violated invariants
 	 * @param trace the last notable events
 	 */
-	public record Result(long seed, long events, long committed, Map<String, Long> faults, List<String> violations,
-			List<String> trace) {
+	public record Result(long seed, long events, long committed, Map<String, Long> work, Map<String, Long> faults,
+			List<String> violations, List<String> trace) {
 	}
 
 }
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/SimulatedNetwork.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/SimulatedNetwork.java
@@ -64,6 +64,19 @@
 		}
 	}
 
+	// As on a connection: nothing is delivered twice.
+	void sendOnce(String sender, String receiver, Runnable delivery) {
+		if (severed(sender, receiver)) {
+			this.trace.fault("message cut");
+		}
+		else if (this.simulation.chance(this.loss)) {
+			this.trace.fault("message lost");
+		}
+		else {
+			deliver(sender, receiver, delivery);
+		}
+	}
+
 	private void deliver(String sender, String receiver, Runnable delivery) {
 		long delay = this.simulation.random()
 			.nextLong(Simulation.MILLISECOND / 4, this.maxDelayMillis * Simulation.MILLISECOND + 1);
--- /dev/null
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/TargetProcess.java
@@ -0,0 +1,121 @@
+package org.redwingramp.bench.soak;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.redwingramp.core.control.Grant;
+import org.redwingramp.core.control.GrantReply;
+import org.redwingramp.core.model.ShardId;
+import org.redwingramp.core.model.TargetSpec;
+
+/**
+ * A target that keeps to the protocol of grants. A pause freezes it; a new run is cold
+ * and has no grants. Not thread safe.
+ */
+final class TargetProcess extends SimulatedProcess {
+
+	private static final long ANNOUNCEMENT_NANOS = 300 * Simulation.MILLISECOND;
+
+	private final ControlWorkload workload;
+
+	private final String failureDomain;
+
+	private Map<ShardId, Long> shards = Map.of();
+
+	private TargetSpec spec;
+
+	private long epoch;
+
+	private long leaseUntilMillis;
+
+	private long clockOrigin;
+
+	private int inFlight;
+
+	private boolean leaving;
+
+	TargetProcess(String name, String failureDomain, ControlWorkload workload) {
+		super(name, workload.world().simulation());
+		this.workload = workload;
+		this.failureDomain = failureDomain;
+		started();
+	}
+
+	TargetSpec spec() {
+		return this.spec;
+	}
+
+	boolean leaving() {
+		return this.leaving;
+	}
+
+	void leave() {
+		this.leaving = true;
+	}
+
+	@Override
+	void started() {
+		this.spec = new TargetSpec(name(), ControlWorkload.SERVICE, "127.0.0.1:8080", this.failureDomain, 3, 110,
+				name() + "-run-" + life(), true);
+		this.shards = Map.of();
+		this.epoch = 0;
+		this.leaseUntilMillis = 0;
+		this.inFlight = 0;
+		this.leaving = false;
+		this.clockOrigin = clock() - simulation().between(1, 50);
+		runAfter(simulation().between(1, 50), this::announce);
+	}
+
+	// A frozen target's grants count too, since its lease goes on.
+	boolean serves(ShardId shard) {
+		return running() && clockMillis() < this.leaseUntilMillis && this.shards.containsKey(shard);
+	}
+
+	Map<ShardId, Long> shards() {
+		return this.shards;
+	}
+
+	GrantReply grant(Grant grant) {
+		if (grant.epoch() >= this.epoch && grant.bootId().equals(this.spec.bootId())) {
+			this.epoch = grant.epoch();
+			Map<ShardId, Long> granted = new HashMap<>();
+			grant.shards().forEach((shard) -> granted.put(shard.shard(), shard.fence()));
+			this.shards = granted;
+			this.leaseUntilMillis = Math.max(this.leaseUntilMillis, grant.leaseUntilMillis());
+			this.workload.checks().granted(this);
+		}
+		return new GrantReply(clockMillis(), this.spec.bootId(), this.epoch, this.inFlight);
+	}
+
+	// Tells whether the request ran.
+	void execute(ServiceRequest request, long gateEpoch, ShardId shard, long fence, Consumer<Boolean> reply) {
+		boolean accepted = serves(shard) && gateEpoch == this.epoch && this.shards.get(shard) == fence;
+		if (!accepted) {
+			reply.accept(false);
+			return;
+		}
+		this.inFlight++;
+		this.workload.checks().executes(this, request, shard, fence);
+		long duration = simulation().chance(0.05) ? simulation().between(50, 300) : simulation().between(1, 10);
+		runAfter(duration, () -> {
+			this.inFlight--;
+			this.workload.checks().executed(this, request);
+			reply.accept(true);
+		});
+	}
+
+	private void announce() {
+		EntryProcess entry = this.workload.anyEntry();
+		boolean drains = this.leaving;
+		this.workload.world()
+			.network()
+			.sendOnce(name(), entry.name(), () -> entry.run(() -> entry.announced(this.spec, drains)));
+		runAfter(ANNOUNCEMENT_NANOS, this::announce);
+	}
+
+	private long clockMillis() {
+		return (clock() - this.clockOrigin) / Simulation.MILLISECOND;
+	}
+
+}
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/Workload.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/Workload.java
@@ -1,5 +1,7 @@
 package org.redwingramp.bench.soak;
 
+import java.util.Map;
+
 /**
  * What uses the replicated log in a round. Not thread safe.
  */
@@ -11,24 +13,16 @@
 	 */
 	StateMachine newMachine();
 
-	/**
-	 * Starts the processes of the workload.
-	 */
+	// Starts the processes of the workload.
 	void start();
 
-	/**
-	 * Injects a fault of the workload's own processes.
-	 */
+	// Injects a fault of the workload's own processes.
 	void injectFault();
 
-	/**
-	 * Ends all faults of the workload's own processes.
-	 */
+	// Ends all faults of the workload's own processes.
 	void endFaults();
 
-	/**
-	 * Checks invariants after each event.
-	 */
+	// Checks invariants after each event.
 	void afterEach();
 
 	/**
@@ -37,4 +31,10 @@
 	 */
 	String missing();
 
+	/**
+	 * Returns what was done, by kind.
+	 * @return the numbers
+	 */
+	Map<String, Long> work();
+
 }
