Test the transport against strangers, replays and silent connections

Cause: the internal port must take nothing from strangers and must not let a silent or slow peer delay others.

Change: tests with the library's own framed client, raw sockets and a proxy that silently stops. They found three faults, now fixed: the accept queue was as short as the number of unauthenticated connections, so a burst of connects waited a second for a repeated packet; unauthenticated connections took room from peers; one failed attempt to connect made all other calls to the peer fail for 20 ms.

Ruled out: refusing new connections instead of the oldest unauthenticated ones, since strangers could then keep peers out.

--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/LinkSettings.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/LinkSettings.java
@@ -14,7 +14,7 @@
  * connection for calls may be idle before it is tested ahead of its next use
  * @param silentMillis how long the answer to a test may take
  * @param idleMillis the time after which an unused connection is closed
- * @param minBackoffMillis the pause after the first failed attempt to connect
+ * @param minBackoffMillis the pause after the second failed attempt to connect in a row
  * @param maxBackoffMillis the longest pause between attempts
  */
 public record LinkSettings(int maxFrameBytes, int queueLength, int controlConnections, int forwardConnections,
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/Backoff.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/Backoff.java
@@ -17,6 +17,8 @@
 
 	private long nextAttempt;
 
+	private boolean failedBefore;
+
 	Backoff(LinkSettings settings) {
 		this.minNanos = settings.minBackoffMillis() * MILLISECOND;
 		this.maxNanos = settings.maxBackoffMillis() * MILLISECOND;
@@ -31,12 +33,17 @@
 	}
 
 	synchronized void failed() {
-		this.pauseNanos = Math.min(this.maxNanos, Math.max(this.minNanos, 2 * this.pauseNanos));
-		this.nextAttempt = System.nanoTime() + this.pauseNanos;
+		// A single failure among working connections must not keep callers from the peer.
+		if (this.failedBefore) {
+			this.pauseNanos = Math.min(this.maxNanos, Math.max(this.minNanos, 2 * this.pauseNanos));
+			this.nextAttempt = System.nanoTime() + this.pauseNanos;
+		}
+		this.failedBefore = true;
 	}
 
 	synchronized void worked() {
 		this.pauseNanos = 0;
+		this.failedBefore = false;
 	}
 
 }
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/Listener.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/Listener.java
@@ -28,6 +28,12 @@
 	/** The largest frame before authentication; a hello or ping has about 200 bytes. */
 	static final int MAX_PENDING_FRAME_BYTES = 4096;
 
+	/**
+	 * The queue of the operating system. A full one makes it drop packets, and the peer
+	 * tries again only after a second.
+	 */
+	private static final int BACKLOG = 1024;
+
 	private static final long RETRY_NANOS = 10_000_000;
 
 	private final ServerSocketChannel channel;
@@ -56,7 +62,7 @@
 		this.watch = watch;
 		this.listener = listener;
 		this.channel = ServerSocketChannel.open();
-		this.channel.bind(address, settings.maxPending());
+		this.channel.bind(address, BACKLOG);
 	}
 
 	/**
@@ -77,7 +83,7 @@
 		while (true) {
 			try {
 				SocketChannel accepted = this.channel.accept();
-				if (this.open.get() < this.settings.maxConnections()) {
+				if (this.open.get() < this.settings.maxConnections() + this.settings.maxPending()) {
 					return admit(accepted);
 				}
 				refuse(accepted.getRemoteAddress().toString());
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
@@ -1,7 +1,11 @@
 package org.redwingramp.wire;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
@@ -81,4 +85,77 @@
 		assertThat(this.fixture.call("last")).isEqualTo("last");
 	}
 
+	// Guards against messages that go on vanishing into a silent connection: consensus
+	// must be back well within the gate lease of 700 ms.
+	@Test
+	void shouldReplaceASilentOneWayConnection() throws Exception {
+		try (StallingProxy proxy = new StallingProxy(this.fixture.port())) {
+			this.fixture.links.send(proxy.address(), Kind.CONSENSUS, "before".getBytes());
+			assertThat(this.fixture.delivered.poll(1, TimeUnit.SECONDS)).endsWith("before");
+			proxy.stall();
+			long start = System.nanoTime();
+			while (this.fixture.delivered.isEmpty() && System.nanoTime() - start < TimeUnit.SECONDS.toNanos(5)) {
+				this.fixture.links.send(proxy.address(), Kind.CONSENSUS, "after".getBytes());
+				WireFixture.sleep(10);
+			}
+			assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(700));
+			WireFixture.awaitEvent(this.fixture.linkEvents, WireEvent.Type.SILENT_CONNECTION);
+		}
+	}
+
+	// Guards against calls whose outcome is unknown only because their connection was
+	// idle for a while.
+	@Test
+	void shouldNotUseASilentIdleConnectionForACall() throws Exception {
+		try (StallingProxy proxy = new StallingProxy(this.fixture.port())) {
+			this.fixture.links.call(proxy.address(), Kind.FORWARD, new byte[10], WireFixture.SECOND);
+			proxy.stall();
+			WireFixture.sleep(150);
+			assertThat(this.fixture.links.call(proxy.address(), Kind.FORWARD, new byte[10], WireFixture.SECOND))
+				.isNotNull();
+			WireFixture.awaitEvent(this.fixture.linkEvents, WireEvent.Type.SILENT_CONNECTION);
+		}
+	}
+
+	// Guards against a peer that takes no bytes and delays messages and calls to others,
+	// and against a queue for it that grows without bound.
+	@Test
+	void shouldNotLetASlowPeerDelayOthers() throws Exception {
+		try (ServerSocket slow = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+			String address = "127.0.0.1:" + slow.getLocalPort();
+			for (int i = 0; i < 400; i++) {
+				this.fixture.links.send(address, Kind.CONSENSUS, new byte[1 << 20]);
+			}
+			long start = System.nanoTime();
+			this.fixture.links.send(this.fixture.address(), Kind.CONSENSUS, "quick".getBytes());
+			assertThat(this.fixture.delivered.poll(1, TimeUnit.SECONDS)).endsWith("quick");
+			assertThat(this.fixture.call("quick")).isEqualTo("quick");
+			assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(500));
+			WireFixture.awaitEvent(this.fixture.linkEvents, WireEvent.Type.MESSAGES_DROPPED);
+			assertThatExceptionOfType(NotSentException.class).isThrownBy(
+					() -> this.fixture.links.call(address, Kind.HEARTBEAT, new byte[10], Duration.ofMillis(100)));
+		}
+	}
+
+	// Guards against forwarded requests that wait for their targets and use up the
+	// connections that leases depend on.
+	@Test
+	void shouldKeepConnectionsForControlCalls() throws Exception {
+		ExecutorService callers = Executors.newCachedThreadPool();
+		try {
+			for (int i = 0; i < 50; i++) {
+				callers.submit(() -> this.fixture.call("freeze"));
+			}
+			WireFixture.sleep(300);
+			for (int i = 0; i < 20; i++) {
+				assertThat(this.fixture.links
+					.call(this.fixture.address(), Kind.HEARTBEAT, new byte[10], Duration.ofMillis(200))
+					.payload()).hasSize(10);
+			}
+		}
+		finally {
+			callers.shutdownNow();
+		}
+	}
+
 }
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/WireFixture.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/WireFixture.java
@@ -13,15 +13,18 @@
 /**
  * A server, links and recorded events on loopback. Thread safe.
  */
-final class WireFixture implements PeerHandler, AutoCloseable {
+public final class WireFixture implements PeerHandler, AutoCloseable {
 
-	static final SharedKey KEY = SharedKey.of("0123456789abcdef0123456789abcdef".getBytes());
+	/** The key of the peers. */
+	public static final SharedKey KEY = SharedKey.of("0123456789abcdef0123456789abcdef".getBytes());
 
 	static final Duration SECOND = Duration.ofSeconds(1);
 
-	static final ServerSettings SERVER = new ServerSettings(5 * 1024 * 1024, 64, 4, 300, 500, 10_000);
+	/** Settings with short timeouts. */
+	public static final ServerSettings SERVER = new ServerSettings(5 * 1024 * 1024, 64, 32, 300, 500, 10_000);
 
-	final List<WireEvent> serverEvents = new CopyOnWriteArrayList<>();
+	/** What the server reported. */
+	public final List<WireEvent> serverEvents = new CopyOnWriteArrayList<>();
 
 	final List<WireEvent> linkEvents = new CopyOnWriteArrayList<>();
 
@@ -31,7 +34,12 @@
 
 	private PeerServer server;
 
-	WireFixture(ServerSettings settings) throws IOException {
+	/**
+	 * Opens the server.
+	 * @param settings the server's settings
+	 * @throws IOException if the port can't be opened
+	 */
+	public WireFixture(ServerSettings settings) throws IOException {
 		this.server = PeerServer.open(loopback(0), self("gate", "c1"), this, settings, this.serverEvents::add);
 		this.links = PeerLinks.open(self("entry", "c1"), LinkSettings.DEFAULT, this.linkEvents::add);
 	}
@@ -40,25 +48,56 @@
 		return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
 	}
 
-	static LocalPeer self(String name, String cluster) {
+	/**
+	 * Creates a peer with the shared key.
+	 * @param name the name
+	 * @param cluster the cluster
+	 * @return the peer
+	 */
+	public static LocalPeer self(String name, String cluster) {
 		return new LocalPeer(name, 7, () -> cluster, KEY);
 	}
 
-	String address() {
+	/**
+	 * Returns the server's address.
+	 * @return the address
+	 */
+	public String address() {
 		return "127.0.0.1:" + this.server.address().getPort();
 	}
 
+	/**
+	 * Returns the server's port.
+	 * @return the port
+	 */
+	public int port() {
+		return this.server.address().getPort();
+	}
+
 	void restart() throws IOException {
 		int port = this.server.address().getPort();
 		this.server.close();
 		this.server = PeerServer.open(loopback(port), self("gate", "c1"), this, SERVER, this.serverEvents::add);
 	}
 
-	String call(String text) throws NotSentException, OutcomeUnknownException {
+	/**
+	 * Calls the server.
+	 * @param text the payload
+	 * @return the answer
+	 * @throws NotSentException if the call was refused
+	 * @throws OutcomeUnknownException if the call failed
+	 */
+	public String call(String text) throws NotSentException, OutcomeUnknownException {
 		return new String(this.links.call(address(), Kind.FORWARD, text.getBytes(), SECOND).payload());
 	}
 
-	void awaitEvent(List<WireEvent> events, WireEvent.Type type) throws InterruptedException {
+	/**
+	 * Waits for an event.
+	 * @param events the events
+	 * @param type the type of the expected event
+	 * @throws InterruptedException if interrupted
+	 */
+	public static void awaitEvent(List<WireEvent> events, WireEvent.Type type) throws InterruptedException {
 		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
 		while (events.stream().noneMatch((event) -> event.type() == type)) {
 			if (System.nanoTime() > end) {
