--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/ControlState.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/ControlState.java
@@ -37,6 +37,12 @@
 	 */
 	ViewUpdate changesSince(long version);
 
+	/**
+	 * Returns the number of accepted configuration changes.
+	 * @return the last configuration revision
+	 */
+	long revision();
+
 	/**
 	 * Returns the number of requests in the ledger.
 	 * @return the number
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ReplicatedState.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ReplicatedState.java
@@ -151,6 +151,11 @@
 		return this.history.since(version).orElseGet(this.view::whole);
 	}
 
+	@Override
+	public long revision() {
+		return this.records.revision();
+	}
+
 	@Override
 	public int ledgerSize() {
 		return this.ledger.size();
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/ControlInput.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/ControlInput.java
@@ -28,6 +28,15 @@
 	record HelloInput(ReplicaId id, boolean blank) implements ControlInput {
 	}
 
+	/**
+	 * The state up to an index was encoded.
+	 *
+	 * @param index the index
+	 * @param image the encoded state
+	 */
+	record SnapshotInput(long index, byte[] image) implements ControlInput {
+	}
+
 	/**
 	 * A call of another daemon.
 	 *
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/ControlLoop.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/ControlLoop.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -19,6 +21,7 @@
 import org.redwingramp.core.consensus.Role;
 import org.redwingramp.core.consensus.Snapshot;
 import org.redwingramp.core.control.Command;
+import org.redwingramp.core.control.ControlImage;
 import org.redwingramp.core.control.InvariantViolatedException;
 import org.redwingramp.daemon.internal.events.Event;
 import org.redwingramp.daemon.internal.events.EventLog;
@@ -64,6 +67,9 @@
 
 	private final LongSupplier clock;
 
+	private final ExecutorService background = Executors
+		.newSingleThreadExecutor((task) -> new Thread(task, "snapshot"));
+
 	private final EffectRunner effects = new EffectRunner();
 
 	private final int snapshotEvery;
@@ -197,6 +203,9 @@
 		else if (input instanceof ControlInput.HelloInput hello) {
 			handle(new ReplicaEvent.PeerSeen(hello.id(), hello.blank()));
 		}
+		else if (input instanceof ControlInput.SnapshotInput snapshot) {
+			handle(new ReplicaEvent.Compact(snapshot.index(), snapshot.image()));
+		}
 		else if (input instanceof ControlInput.CallInput call) {
 			answer(call);
 		}
@@ -230,7 +239,7 @@
 				.toList())
 			.orElse(List.of());
 		return new ControlReply.ViewRead(this.machine.state().changesSince(since), controller(now).versionInForce(now),
-				this.machine.state().image().revision(), leaderName(), this.replica.term(), replicas,
+				this.machine.state().revision(), leaderName(), this.replica.term(), replicas,
 				this.replica.commitIndex(), this.machine.state().ledgerSize());
 	}
 
@@ -315,16 +324,31 @@
 		EventLog.log(Event.ROLE_CHANGED, this.replica.id(), role, this.replica.term(), leader);
 	}
 
-	private void snapshotIfDue() throws CodecException, StorageException, InvariantViolatedException {
+	private void snapshotIfDue() {
 		long applied = this.machine.appliedIndex();
 		if (applied - this.lastSnapshot < this.snapshotEvery) {
 			return;
 		}
 		this.lastSnapshot = applied;
-		byte[] image = this.machine.encodedImage();
-		handle(new ReplicaEvent.Compact(applied, image));
-		runEffects();
-		EventLog.log(Event.SNAPSHOT, applied, image.length);
+		ControlImage image = this.machine.state().image();
+		this.background.execute(() -> encode(applied, image));
+	}
+
+	// Encoding a large state takes longer than the leader lease, so it must not hold up
+	// the
+	// loop.
+	private void encode(long index, ControlImage image) {
+		try {
+			byte[] encoded = this.machine.encode(image);
+			this.ring.put(new ControlInput.SnapshotInput(index, encoded));
+			EventLog.log(Event.SNAPSHOT, index, encoded.length);
+		}
+		catch (CodecException ex) {
+			EventLog.log(Event.DUTY_FAILED, "encode snapshot", ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	private String leaderName() {
@@ -334,6 +358,7 @@
 
 	private void refuseRemaining() {
 		this.running = false;
+		this.background.shutdownNow();
 		this.machine.abandonWaiting();
 		List<ControlInput> inputs = new ArrayList<>();
 		this.ring.drainTo(inputs);
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/StateMachine.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/StateMachine.java
@@ -109,8 +109,9 @@
 		}
 	}
 
-	byte[] encodedImage() throws CodecException {
-		return this.images.encode(this.state.image());
+	// Thread safe, since the image shares nothing with the state.
+	byte[] encode(ControlImage image) throws CodecException {
+		return this.images.encode(image);
 	}
 
 }
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateRegistry.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateRegistry.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.LongSupplier;
 
 import org.redwingramp.core.control.ControlView;
@@ -31,7 +33,7 @@
 
 	private final Map<String, GateRuntime> gates = new ConcurrentHashMap<>();
 
-	private final Map<String, GateRuntime> retired = new ConcurrentHashMap<>();
+	private final Queue<GateRuntime> retired = new ConcurrentLinkedQueue<>();
 
 	public GateRegistry(String instance, LongSupplier clock) {
 		this.instance = instance;
@@ -52,8 +54,7 @@
 
 	// Returns whether a request still runs at a gate that this instance no longer is.
 	boolean retiredIdle(String target) {
-		GateRuntime gate = this.retired.get(target);
-		return gate == null || gate.idle();
+		return this.retired.stream().filter((gate) -> gate.target().equals(target)).allMatch(GateRuntime::idle);
 	}
 
 	// Returns the number of requests that hold or wait for a slot.
@@ -100,8 +101,8 @@
 	private void close(GateRuntime gate) {
 		this.gates.remove(gate.target(), gate);
 		gate.retire();
-		this.retired.put(gate.target(), gate);
-		this.retired.values().removeIf((old) -> old != gate && old.idle());
+		this.retired.removeIf(GateRuntime::idle);
+		this.retired.add(gate);
 		EventLog.log(Event.GATE_CLOSED, gate.target(), gate.epoch(), "the view names another gate or epoch");
 	}
 
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/RequestRouter.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/RequestRouter.java
@@ -104,20 +104,26 @@
 			return false;
 		}
 		Problem problem = reply.problem().get();
-		if (problem.reroutable() && !reply.targetFailed()) {
+		if (problem.reroutable()) {
+			exclude(request, reply, tried, destination);
 			return true;
 		}
 		boolean safe = (problem == Problem.NO_ANSWER) ? request.requestClass().retryable() : reply.targetFailed();
 		if (!safe || !this.health.tryRetry(request.service().name())) {
 			return false;
 		}
-		if (!request.service().keySource().keyed()) {
-			tried.add(destination.target().spec().name());
-		}
+		exclude(request, reply, tried, destination);
 		EventLog.log(Event.RETRIED, request.identity(), problem.code(), attempt + 1);
 		return true;
 	}
 
+	// Nothing was sent after a reroutable problem, so going on needs no retry budget.
+	private static void exclude(RoutedRequest request, GateReply reply, Set<String> tried, Destination destination) {
+		if (reply.targetFailed() && !request.service().keySource().keyed()) {
+			tried.add(destination.target().spec().name());
+		}
+	}
+
 	private GateReply send(RoutedRequest request, Destination destination, ControlView view, Set<String> tried,
 			CompletableFuture<Void> cancelled) {
 		OptionalLong delay = request.service().keySource().keyed() ? OptionalLong.empty()
