Bound what idle connections and damaged files hold in memory

Cause: a connection kept the buffer of its last large frame, up to 5 MiB for each of 64 pooled connections; interned map keys stay in the JVM; a file that had grown was an I/O error instead of damage.

Change: large buffers are released before waiting; field names aren't interned; files of the wrong size are corruption. Codes of kinds are pinned.

--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Block.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Block.java
@@ -61,6 +61,16 @@
 		return intact ? Optional.of(new Block(type, body)) : Optional.empty();
 	}
 
+	/**
+	 * Decodes a file that holds exactly one block.
+	 * @param data the file's content
+	 * @param type the expected type
+	 * @return the block, or empty if the file is not exactly one intact block of the type
+	 */
+	static Optional<Block> decodeWhole(byte[] data, Type type) {
+		return decode(data, 0, type).filter((block) -> block.size() == data.length);
+	}
+
 	/**
 	 * Returns the size of an intact block.
 	 * @param data the data
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/DiskFiles.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/DiskFiles.java
@@ -29,11 +29,7 @@
 	@Override
 	public byte[] read(Path file, long limit) throws IOException {
 		try (InputStream input = Files.newInputStream(file)) {
-			long size = Files.size(file);
-			if (size > limit) {
-				throw new IOException(file + " has " + size + " bytes, more than the limit of " + limit);
-			}
-			return input.readNBytes((int) Math.min(limit, Integer.MAX_VALUE - 8));
+			return input.readNBytes((int) Math.min(limit + 1, Integer.MAX_VALUE - 8));
 		}
 	}
 
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/FileReplicaStore.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/FileReplicaStore.java
@@ -51,8 +51,14 @@
 		this.log = recovered.log();
 		this.segments = recovered.segments();
 		this.writer = new SegmentWriter(files, layout, this.segments.lastKey(), recovered.end());
-		this.writer.settle(recovered.torn());
-		clean();
+		try {
+			this.writer.settle(recovered.torn());
+			clean();
+		}
+		catch (IOException ex) {
+			closeFiles();
+			throw ex;
+		}
 	}
 
 	/**
@@ -207,7 +213,12 @@
 	@Override
 	public void close() {
 		this.usable = false;
-		try (Closeable last = this.lock) {
+		closeFiles();
+		release(this.lock);
+	}
+
+	private void closeFiles() {
+		try {
 			this.writer.close();
 		}
 		catch (IOException ex) {
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Identity.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Identity.java
@@ -23,7 +23,7 @@
 	}
 
 	static Optional<Identity> decode(byte[] data) {
-		return Block.decode(data, 0, Block.Type.IDENTITY)
+		return Block.decodeWhole(data, Block.Type.IDENTITY)
 			.flatMap((block) -> Formats.decode(block.body(),
 					(input) -> new Identity(input.readInt(), Formats.readId(input))));
 	}
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Recovery.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Recovery.java
@@ -87,6 +87,9 @@
 	private void readSegment(long number, boolean last, long synced) throws IOException, CorruptStorageException {
 		Path file = this.layout.segment(number);
 		byte[] data = this.files.read(file, this.limits.largestSegment());
+		if (data.length > this.limits.largestSegment()) {
+			throw StoreErrors.corrupt(file, data.length, "the segment is larger than any that is written");
+		}
 		int offset = readHeader(number, file, data);
 		long highest = 0;
 		while (offset < data.length) {
@@ -156,8 +159,7 @@
 			throw StoreErrors.corrupt(this.layout.snapshot(expected.index()), 0, "the snapshot is missing");
 		}
 		byte[] data = this.files.read(file, (long) this.limits.snapshot() + Block.OVERHEAD);
-		Optional<Snapshot> snapshot = Block.decode(data, 0, Block.Type.SNAPSHOT)
-			.filter((block) -> block.size() == data.length)
+		Optional<Snapshot> snapshot = Block.decodeWhole(data, Block.Type.SNAPSHOT)
 			.flatMap((block) -> Formats.decodeSnapshot(this.id, block.body()))
 			.filter((found) -> found.index() == expected.index() && found.term() == expected.term());
 		if (snapshot.isEmpty()) {
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/StoreFiles.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/StoreFiles.java
@@ -21,11 +21,11 @@
 	List<String> list(Path folder) throws IOException;
 
 	/**
-	 * Reads a whole file.
+	 * Reads a file.
 	 * @param file the file
-	 * @param limit the largest accepted size in bytes
-	 * @return the content
-	 * @throws IOException if it can't be read or is larger than the limit
+	 * @param limit the largest size that the file should have, in bytes
+	 * @return the content, of a larger file the first {@code limit + 1} bytes
+	 * @throws IOException if it can't be read
 	 */
 	byte[] read(Path file, long limit) throws IOException;
 
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/SyncMark.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/SyncMark.java
@@ -25,7 +25,7 @@
 	}
 
 	static Optional<SyncMark> decode(byte[] data) {
-		return Block.decode(data, 0, Block.Type.MARK)
+		return Block.decodeWhole(data, Block.Type.MARK)
 			.flatMap((block) -> Formats.decode(block.body(),
 					(input) -> new SyncMark(input.readLong(), input.readLong())));
 	}
--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/FaultTests.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/FaultTests.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -186,6 +187,23 @@
 		}
 	}
 
+	// Guards against files that grew, for example into the next one by a broken file
+	// system, and against reading them into memory whole.
+	@Test
+	void shouldNoticeEachFileThatGrew() throws Exception {
+		Path folder = history("grown");
+		for (String name : stateFiles(folder)) {
+			Path damaged = copy(folder, "grown-" + name);
+			Files.write(damaged.resolve(name), new byte[200_000], StandardOpenOption.APPEND);
+			if (!damaged.resolve(name).equals(lastSegment(damaged))) {
+				assertCorrupt(damaged, damaged.resolve(name));
+			}
+		}
+		Path last = lastSegment(folder);
+		Files.write(last, new byte[200_000], StandardOpenOption.APPEND);
+		assertCorrupt(folder, last);
+	}
+
 	// Guards against a log from a backup that is older than the snapshot beside it.
 	@Test
 	void shouldNoticeALogOlderThanItsSnapshot() throws Exception {
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/CborMapper.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/CborMapper.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.annotation.JsonSetter;
 import com.fasterxml.jackson.annotation.Nulls;
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -39,6 +40,8 @@
 		CBORFactory factory = CBORFactory.builder()
 			.streamReadConstraints(
 					StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING).maxNameLength(MAX_NAME_LENGTH).build())
+			// Map keys come from callers and would fill the table of interned strings.
+			.disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
 			.build();
 		CBORMapper.Builder builder = CBORMapper.builder(factory)
 			.annotationIntrospector(new SealedTypeIntrospector())
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/FrameTransport.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/FrameTransport.java
@@ -105,7 +105,7 @@
 	 * @param frameTimeNanos the time in which a frame must arrive or leave as a whole, 0
 	 * to leave the deadline alone
 	 */
-	public void trust(int maxBytes, long frameTimeNanos) {
+	void trust(int maxBytes, long frameTimeNanos) {
 		this.maxFrameBytes = maxBytes;
 		this.frameNanos = frameTimeNanos;
 	}
@@ -244,7 +244,17 @@
 		}
 	}
 
+	/** Lets go of the memory of a large frame that is no longer in use. */
+	public void release() {
+		if (this.in.length > CHUNK_BYTES) {
+			this.in = new byte[INITIAL_BYTES];
+			this.position = 0;
+			this.limit = 0;
+		}
+	}
+
 	private void readFrame() throws TTransportException {
+		release();
 		try {
 			fill(this.header);
 			int length = this.header.getInt(0);
@@ -273,8 +283,8 @@
 	}
 
 	private void readBody(int length) throws IOException {
-		if (this.in.length > CHUNK_BYTES || this.in.length < Math.min(length, CHUNK_BYTES)) {
-			this.in = new byte[Math.max(INITIAL_BYTES, Math.min(length, CHUNK_BYTES))];
+		if (this.in.length < Math.min(length, CHUNK_BYTES)) {
+			this.in = new byte[Math.min(length, CHUNK_BYTES)];
 		}
 		int received = 0;
 		while (received < length) {
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/PeerConnection.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/PeerConnection.java
@@ -212,6 +212,7 @@
 
 	/** Marks the connection as unused; it closes after the idle time. */
 	void rest() {
+		this.transport.release();
 		this.idleSince = System.nanoTime();
 		this.transport.deadline(TimeUnit.MILLISECONDS.toNanos(this.settings.idleMillis()));
 	}
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
@@ -3,6 +3,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -63,6 +64,13 @@
 			.isThrownBy(() -> this.fixture.links.call("127.0.0.1:1", Kind.FORWARD, new byte[0], WireFixture.SECOND));
 	}
 
+	// Guards against renumbered kinds, which daemons of another version misread.
+	@Test
+	void shouldKeepTheCodesOfKinds() {
+		assertThat(Arrays.stream(Kind.values()).map((kind) -> kind.code() + " " + kind)).containsExactly("0 PING",
+				"1 CONSENSUS", "2 IDENTITY", "3 HEARTBEAT", "4 PROPOSE", "5 RECORDS", "6 STATUS", "7 FORWARD");
+	}
+
 	// Guards against a call that outlives its timeout, and against the late answer being
 	// taken for that of the next call.
 	@Test
