Don't count a deadline that comes before a normal answer as a failure

Cause: under overload, requests that waited until shortly before their deadline were lost right after their start; three of them returned a healthy target to cold start. Ruled out: ignoring every lost request, since a long wait without an answer is a sign of coldness; it still counts.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
@@ -82,6 +82,10 @@
 		return this.warm;
 	}
 
+	boolean slow(double nanos) {
+		return this.normal > 0 && nanos > COLD_RATIO * this.normal;
+	}
+
 	int restarts() {
 		return this.restarts;
 	}
@@ -122,7 +126,7 @@
 	}
 
 	private void watch(double nanos, boolean failed) {
-		boolean slow = this.normal > 0 && nanos > COLD_RATIO * this.normal;
+		boolean slow = slow(nanos);
 		boolean cold = this.window.failures() >= COLD_FAILURES
 				|| (this.window.full() && this.window.mean() > COLD_RATIO * this.normal);
 		if (cold && this.normal > 0) {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/SlotGate.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/SlotGate.java
@@ -56,7 +56,7 @@
 		}
 		List<GateEffect> effects = new ArrayList<>(start(now));
 		if (canStart() && this.queue.size() == 0) {
-			this.startedAt.put(request.id(), new Send(now, this.ramp.restarts()));
+			this.startedAt.put(request.id(), new Send(now, request.deadline(), this.ramp.restarts()));
 			effects.add(new GateEffect.Start(request.id()));
 		}
 		else {
@@ -71,7 +71,7 @@
 		if (send == null) {
 			throw new IllegalArgumentException("request " + id + " finished at this gate but isn't in flight");
 		}
-		if (result == GateResult.ANSWERED || !result.healthy()) {
+		if (result == GateResult.ANSWERED || (!result.healthy() && !cutShort(send, result, now))) {
 			observe(send, now - send.start(), !result.healthy());
 		}
 		return checked(start(now));
@@ -109,6 +109,12 @@
 				this.ramp.warm(), (long) this.serviceNanos);
 	}
 
+	// A request whose deadline came sooner than a normal answer says nothing: under
+	// overload, requests that waited long would make a healthy target look cold.
+	private boolean cutShort(Send send, GateResult result, long now) {
+		return result == GateResult.LOST && now >= send.deadline() && !this.ramp.slow(now - send.start());
+	}
+
 	private void observe(Send send, long nanos, boolean failed) {
 		// Answers to requests from before a restart of the ramp say nothing about the
 		// limit in force.
@@ -136,7 +142,7 @@
 				effects.add(new GateEffect.Refuse(id, Refusal.DEADLINE));
 			}
 			else {
-				this.startedAt.put(id, new Send(now, this.ramp.restarts()));
+				this.startedAt.put(id, new Send(now, next.get().deadline(), this.ramp.restarts()));
 				effects.add(new GateEffect.Start(id));
 			}
 		}
@@ -182,9 +188,10 @@
 	 * A started request.
 	 *
 	 * @param start when it started
+	 * @param deadline when the answer must be there
 	 * @param restarts the restarts of the ramp until then
 	 */
-	private record Send(long start, int restarts) {
+	private record Send(long start, long deadline, int restarts) {
 	}
 
 }
--- a/redwingramp-core/src/test/java/org/redwingramp/core/routing/TargetGateTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/routing/TargetGateTests.java
@@ -175,6 +175,19 @@
 		assertThat(gate.status(this.now).limit()).isEqualTo(3);
 	}
 
+	/**
+	 * Guards against an overload in which requests that waited long reach their deadline
+	 * right after their start and make a healthy target look cold.
+	 */
+	@Test
+	void shouldNotTakeAShortDeadlineForAColdTarget() {
+		TargetGate gate = warm();
+		lose(gate, 20, NORMAL);
+		assertThat(gate.status(this.now).warm()).isTrue();
+		lose(gate, 5, 10 * NORMAL);
+		assertThat(gate.status(this.now).warm()).isFalse();
+	}
+
 	/** Guards against late failures from before a restart that prolong the ramp. */
 	@Test
 	void shouldIgnoreAnswersFromBeforeARestartOfTheRamp() {
@@ -258,6 +271,15 @@
 		run(gate, count, nanos, GateResult.ANSWERED);
 	}
 
+	private void lose(TargetGate gate, int count, long nanos) {
+		for (int i = 0; i < count; i++) {
+			long id = this.nextId++;
+			gate.offer(new GateRequest(id, RequestClass.IDEMPOTENT, this.now + nanos), this.now);
+			this.now += nanos;
+			gate.finished(id, GateResult.LOST, this.now);
+		}
+	}
+
 	private void fail(TargetGate gate, int count) {
 		run(gate, count, MILLIS, GateResult.FAILED);
 	}
