Let a gate repeat the record of a request after an undecided commit

Cause: read in review: when the leader changed between the commit and its answer, the gate had sent nothing and said so, but the ledger kept the request as running, so each resend heard unknown and the booking could never land. Ruled out: aborting by identity, which could abort another gate's attempt; asking the ledger who holds it, which a restarted gate of the same name can't tell apart. Change: BeginRequest carries a token chosen for each send; the same token is started again while the attempt is running, another token is not. Conclusion: a change of leader no longer blocks bookings that were not sent.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/Command.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/Command.java
@@ -212,9 +212,29 @@
 	 * keys
 	 * @param fence the shard's fence
 	 * @param timeoutMillis the time after which the request counts as unknown
+	 * @param token chosen anew by the gate for each send; a gate that doesn't know
+	 * whether its command was committed repeats it with the same token and is started
+	 * again, since it has sent nothing; empty if the gate never repeats
 	 */
 	record BeginRequest(RequestIdentity request, String digest, String target, String gate, long gateEpoch,
-			ShardId shard, long fence, long timeoutMillis) implements Command {
+			ShardId shard, long fence, long timeoutMillis, String token) implements Command {
+
+		/**
+		 * Creates a command that is never repeated.
+		 * @param request the request's identity
+		 * @param digest the SHA-256 of method, path and body in hexadecimal
+		 * @param target the target that it would be sent to
+		 * @param gate the sending gate
+		 * @param gateEpoch the gate epoch of the target
+		 * @param shard the shard of the request
+		 * @param fence the shard's fence
+		 * @param timeoutMillis the time after which the request counts as unknown
+		 */
+		public BeginRequest(RequestIdentity request, String digest, String target, String gate, long gateEpoch,
+				ShardId shard, long fence, long timeoutMillis) {
+			this(request, digest, target, gate, gateEpoch, shard, fence, timeoutMillis, "");
+		}
+
 	}
 
 	/**
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/LedgerRecord.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/LedgerRecord.java
@@ -16,7 +16,9 @@
  * an answer counts as unknown
  * @param unknown whether it was marked as unknown
  * @param answer the answer, if the request is done
+ * @param token the token of the {@link Command.BeginRequest}, empty once the request
+ * ended
  */
 public record LedgerRecord(RequestIdentity request, String digest, long attempt, String gate, long gateEpoch,
-		String target, long unknownAtMillis, boolean unknown, Optional<StoredAnswer> answer) {
+		String target, long unknownAtMillis, boolean unknown, Optional<StoredAnswer> answer, String token) {
 }
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/Ledger.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/Ledger.java
@@ -67,7 +67,7 @@
 		}
 		LedgerRecord known = this.records.get(LedgerKey.of(command.request()));
 		if (known != null) {
-			return describe(known, command.digest(), clock, view);
+			return describe(known, command, clock, view);
 		}
 		Begun.Status status = admission(command, service.get(), clock, view);
 		if (status != Begun.Status.STARTED) {
@@ -77,18 +77,21 @@
 			return Refusals.limitReached("recorded requests", this.maxRecords);
 		}
 		put(compact(new LedgerRecord(command.request(), command.digest(), index, command.gate(), command.gateEpoch(),
-				command.target(), clock + command.timeoutMillis(), false, Optional.empty())));
+				command.target(), clock + command.timeoutMillis(), false, Optional.empty(), command.token())));
 		return new Begun(Begun.Status.STARTED, index, Optional.empty());
 	}
 
-	private static Begun describe(LedgerRecord known, String digest, long clock, ImmutableView view) {
-		if (!known.digest().equals(digest)) {
+	private static Begun describe(LedgerRecord known, Command.BeginRequest command, long clock, ImmutableView view) {
+		if (!known.digest().equals(command.digest())) {
 			return new Begun(Begun.Status.DIGEST_MISMATCH, known.attempt(), Optional.empty());
 		}
 		if (known.answer().isPresent()) {
 			return new Begun(Begun.Status.DONE, known.attempt(), known.answer());
 		}
 		boolean running = !known.unknown() && clock < known.unknownAtMillis() && gateUnchanged(known, view);
+		if (running && !command.token().isEmpty() && command.token().equals(known.token())) {
+			return new Begun(Begun.Status.STARTED, known.attempt(), Optional.empty());
+		}
 		return new Begun(running ? Begun.Status.RUNNING : Begun.Status.UNKNOWN, known.attempt(), Optional.empty());
 	}
 
@@ -177,7 +180,7 @@
 
 	private static LedgerRecord with(LedgerRecord known, boolean unknown, Optional<StoredAnswer> answer) {
 		return new LedgerRecord(known.request(), known.digest(), known.attempt(), known.gate(), known.gateEpoch(),
-				known.target(), known.unknownAtMillis(), unknown, answer);
+				known.target(), known.unknownAtMillis(), unknown, answer, "");
 	}
 
 	CommandResult expire(long clock, ImmutableView view) {
@@ -202,7 +205,7 @@
 		RequestIdentity request = new RequestIdentity(record.request().service().intern(), record.request().key(),
 				record.request().issuedMillis());
 		return new LedgerRecord(request, record.digest(), record.attempt(), record.gate().intern(), record.gateEpoch(),
-				record.target().intern(), record.unknownAtMillis(), record.unknown(), record.answer());
+				record.target().intern(), record.unknownAtMillis(), record.unknown(), record.answer(), record.token());
 	}
 
 	private void put(LedgerRecord record) {
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/AtMostOnce.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/AtMostOnce.java
@@ -5,6 +5,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -43,7 +44,7 @@
 		long remaining = deadline - this.clock.getAsLong();
 		Command.BeginRequest begin = new Command.BeginRequest(identity, digest(request), request.target(), this.gate,
 				request.gateEpoch(), request.shard(), request.fence(),
-				Math.max(1, TimeUnit.NANOSECONDS.toMillis(remaining)));
+				Math.max(1, TimeUnit.NANOSECONDS.toMillis(remaining)), UUID.randomUUID().toString());
 		try {
 			Begun begun = this.ledger.begin(begin, remaining);
 			return (begun.status() == Begun.Status.STARTED) ? conclude(identity, begun.attempt(), send.get())
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateParts.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateParts.java
@@ -37,8 +37,8 @@
 			Supplier<Map<String, Double>> slowTargets) {
 		GateRegistry registry = new GateRegistry(this.instance, this.clock);
 		ShardLoads loads = new ShardLoads();
-		AtMostOnce atMostOnce = new AtMostOnce(new ReplicatedLedger(this.control, this.background), this.instance,
-				this.clock);
+		AtMostOnce atMostOnce = new AtMostOnce(new ReplicatedLedger(this.control, this.background, this.clock),
+				this.instance, this.clock);
 		GateService service = new GateService(registry,
 				new JettyTargetCaller(this.requests, this.clock, this.maxAnswerBytes), atMostOnce, session, loads,
 				this.clock);
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/ReplicatedLedger.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/ReplicatedLedger.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import org.redwingramp.core.control.Command;
 import org.redwingramp.core.control.CommandResult;
@@ -24,23 +25,35 @@
 
 	private final Executor background;
 
-	ReplicatedLedger(ControlClient control, Executor background) {
+	private final LongSupplier clock;
+
+	ReplicatedLedger(ControlClient control, Executor background, LongSupplier clock) {
 		this.control = control;
 		this.background = background;
+		this.clock = clock;
 	}
 
 	@Override
 	public Begun begin(Command.BeginRequest request, long timeoutNanos) throws LedgerUnavailableException {
-		try {
-			CommandResult result = this.control.propose(request, timeoutNanos);
-			if (result instanceof Begun begun) {
-				return begun;
+		long deadline = this.clock.getAsLong() + timeoutNanos;
+		String last = "the deadline passed";
+		while (this.clock.getAsLong() < deadline) {
+			try {
+				CommandResult result = this.control.propose(request, deadline - this.clock.getAsLong());
+				if (result instanceof Begun begun) {
+					return begun;
+				}
+				throw new LedgerUnavailableException("the ledger answered " + result);
+			}
+			catch (ControlUndecidedException ex) {
+				// The command has a token, so repeating it never starts a second attempt.
+				last = ex.getMessage();
+			}
+			catch (ControlUnavailableException ex) {
+				throw new LedgerUnavailableException(ex.getMessage());
 			}
-			throw new LedgerUnavailableException("the ledger answered " + result);
-		}
-		catch (ControlUnavailableException | ControlUndecidedException ex) {
-			throw new LedgerUnavailableException(ex.getMessage());
 		}
+		throw new LedgerUnavailableException(last);
 	}
 
 	@Override
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/RequestLedger.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/RequestLedger.java
@@ -11,8 +11,9 @@
 interface RequestLedger {
 
 	/**
-	 * Records that a request is about to be sent.
-	 * @param request the request
+	 * Records that a request is about to be sent. May repeat the command while it isn't
+	 * known whether it was committed.
+	 * @param request the request, with a token
 	 * @param timeoutNanos how long to try
 	 * @return what the ledger holds; the request may be sent only if it was started now
 	 * @throws LedgerUnavailableException if the ledger gave no answer; the request must
