--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/EntryAgent.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/EntryAgent.java
@@ -59,7 +59,9 @@
 	Grant nextGrant(String target, long now);
 
 	/**
-	 * Handles a target's reply to a grant.
+	 * Handles a target's reply to a grant. At most one grant to a target is in flight:
+	 * the next one is sent after the reply or after {@link ControlTiming} counts it as
+	 * failed, and a reply that comes later than that is dropped by the invoking code.
 	 * @param target the target's name
 	 * @param gateEpoch the gate epoch of the grant
 	 * @param reply the reply
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/GrantSession.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/GrantSession.java
@@ -155,7 +155,7 @@
 	}
 
 	boolean lost(long now) {
-		return this.lostReported || (now >= this.lossEnd && !this.unanswered.isEmpty()
+		return this.lostReported || (!this.handedOver && now >= this.lossEnd && !this.unanswered.isEmpty()
 				&& now - this.unanswered.getFirst().sent() >= this.timing.grantTimeoutNanos());
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/HotKeyPlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/HotKeyPlanner.java
@@ -111,7 +111,8 @@
 
 	private void split(RecordBody.Service service, ControlView view, Set<ShardId> known, double mean,
 			Proposals proposals, long now) {
-		int room = MAX_PER_TARGET * view.targets(service.name()).size() - known.size();
+		long split = known.stream().filter((key) -> !this.wanted.containsKey(key)).count();
+		long room = MAX_PER_TARGET * view.targets(service.name()).size() - split;
 		this.loads.hotKeys(service.name(), Math.max(LEAST_RATE, SPLIT_SHARE * mean), now)
 			.stream()
 			.filter((key) -> !known.contains(key))
--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/EntryAgentTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/EntryAgentTests.java
@@ -206,6 +206,7 @@
 		assertThat(grant().leaseUntilMillis()).isPositive();
 		assertThat(beat(target).handedOver()).containsExactly(target);
 		assertThat(grant().epoch()).isZero();
+		assertThat(this.agent.lost("t1", this.now + 1_000 * MS)).isFalse();
 		assertThat(beat().handedOver()).containsExactly(target);
 	}
 
--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/ViewUpdateTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/ViewUpdateTests.java
@@ -106,6 +106,21 @@
 		assertThat(this.agent.gateLeaseEnd()).isEqualTo(leaseEnd);
 	}
 
+	@Test
+	void shouldGiveARestartedEntryNoOlderViewThanItsFormerRunHad() throws InvariantViolatedException {
+		for (int i = 1; i <= 300; i++) {
+			this.driver.apply(Fixtures.domain("zona-" + i % 5, i / 5 + 1, DomainState.IN));
+		}
+		synchronize();
+		ControlState replica = ControlStates.restored(this.driver.state.image());
+		EntryAgent restarted = EntryAgents.create(Fixtures.entry("e1", "zona-capital"), ControlTiming.DEFAULT);
+		EntryHeartbeat heartbeat = restarted.heartbeat(GateReports.NONE, 0);
+		assertThat(restarted.mayRoute(0)).isFalse();
+		restarted.reply(new EntryHeartbeatReply(heartbeat.sequence(), 2, LEASE,
+				Optional.of(replica.changesSince(heartbeat.viewVersion())), List.of()), 1);
+		assertSame(restarted.view(), this.agent.view());
+	}
+
 	@Test
 	void shouldStopAtAnUpdateWithALowerFence() throws InvariantViolatedException {
 		synchronize();
