Wake up less often on idle connections

Cause: heartbeats every 100 ms found their connection idle for the ping interval of 100 ms, so each cost a ping too; the watch woke up 100 times a second.

--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/CallPool.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/CallPool.java
@@ -91,7 +91,7 @@
 		if (!connection.usable()) {
 			return false;
 		}
-		if (!connection.idleLongerThan(TimeUnit.MILLISECONDS.toNanos(this.settings.pingMillis()))) {
+		if (!connection.idleLongerThan(TimeUnit.MILLISECONDS.toNanos(this.settings.testAfterMillis()))) {
 			return true;
 		}
 		try {
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/ConnectionWatch.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/ConnectionWatch.java
@@ -10,7 +10,8 @@
  */
 public final class ConnectionWatch implements AutoCloseable {
 
-	private static final long PERIOD_NANOS = 10_000_000;
+	/** How late a deadline may be noticed; a shorter period costs more wake-ups. */
+	private static final long PERIOD_NANOS = 20_000_000;
 
 	private final Set<FrameTransport> connections = ConcurrentHashMap.newKeySet();
 
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/OneWaySender.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/OneWaySender.java
@@ -20,7 +20,7 @@
 
 	private static final byte[] NOTHING = {};
 
-	private static final long ANSWER_POLL_NANOS = 5_000_000;
+	private static final long ANSWER_POLL_NANOS = 20_000_000;
 
 	private static final long LONGEST_WAIT_NANOS = 1_000_000_000;
 
