--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/load/Caller.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/load/Caller.java
@@ -103,7 +103,7 @@
 			return check(request.send(), path, key, identity, intended);
 		}
 		catch (TimeoutException | ExecutionException ex) {
-			String outcome = connected[0] ? "broken" : "notConnected";
+			String outcome = (connected[0]) ? "broken" : "notConnected";
 			this.tally.problem(outcome + " by " + ex.getClass().getSimpleName());
 			return new Ended(outcome);
 		}
