Report a request as unknown if an earlier send of it may have run

Cause: the router returned the reply to the last send. Ruled out: at-most-once requests, which are not sent again after an unknown outcome. Change: the reply for the caller takes earlier sends into account. Before: HedgerTests.shouldReportUnknownWhenTheSecondSendMayHaveRun failed. After: passes.

--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateReply.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateReply.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.redwingramp.core.model.Outcome;
 import org.redwingramp.daemon.internal.http.HeaderField;
 import org.redwingramp.daemon.internal.route.Problem;
 
@@ -72,6 +73,24 @@
 		return new GateReply(Optional.empty(), "", status, headers, body, true, false, 0, 0);
 	}
 
+	/**
+	 * Returns what is true of a request that was sent before. A refusal of this send says
+	 * nothing about the earlier one, so the earlier reply counts if that may have run.
+	 * @param earlier the reply to an earlier send
+	 * @return the reply for the caller
+	 */
+	public GateReply after(GateReply earlier) {
+		return (mayHaveRun(earlier) && notRun()) ? earlier : this;
+	}
+
+	private static boolean mayHaveRun(GateReply reply) {
+		return reply.problem.filter((found) -> found.outcome() == Outcome.UNKNOWN).isPresent();
+	}
+
+	private boolean notRun() {
+		return this.problem.filter((found) -> found.outcome() == Outcome.NOT_RUN).isPresent();
+	}
+
 	/**
 	 * Returns the reply with the target's load.
 	 * @param requests the target's started and waiting requests
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/Hedger.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/Hedger.java
@@ -48,8 +48,13 @@
 			}
 		});
 		second.thenAccept((reply) -> reply.filter((found) -> found.problem().isEmpty()).ifPresent(answer::complete));
-		CompletableFuture.allOf(first, second).whenComplete((done, failure) -> answer.complete(first.join()));
+		CompletableFuture.allOf(first, second)
+			.whenComplete((done, failure) -> answer.complete(unanswered(first.join(), second.join())));
 		return answer.join();
 	}
 
+	private static GateReply unanswered(GateReply first, Optional<GateReply> second) {
+		return second.map(first::after).orElse(first);
+	}
+
 }
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/RequestRouter.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/RequestRouter.java
@@ -88,8 +88,9 @@
 			}
 			if (destination.isPresent()) {
 				attempt++;
-				last = send(request, destination.get(), view, tried, cancelled);
-				if (!again(request, last, attempt, tried, destination.get())) {
+				GateReply reply = send(request, destination.get(), view, tried, cancelled);
+				last = reply.after(last);
+				if (!again(request, reply, attempt, tried, destination.get())) {
 					return last;
 				}
 			}
--- /dev/null
+++ b/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/gate/GateReplyTests.java
@@ -0,0 +1,35 @@
+package org.redwingramp.daemon.internal.gate;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import org.redwingramp.daemon.internal.route.Problem;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a caller being told that a request did not run although an earlier send
+ * of it may have run.
+ */
+class GateReplyTests {
+
+	private static final GateReply REFUSED = GateReply.refused(Problem.QUEUE_FULL, "full");
+
+	private static final GateReply UNKNOWN = GateReply.failed(Problem.NO_ANSWER, "timeout", 1);
+
+	private static final GateReply ANSWERED = GateReply.answered(200, List.of(), new byte[0], 1);
+
+	@Test
+	void shouldStayUnknownWhenALaterSendIsRefused() {
+		assertThat(REFUSED.after(UNKNOWN)).isSameAs(UNKNOWN);
+	}
+
+	@Test
+	void shouldTakeTheLaterReplyOtherwise() {
+		assertThat(REFUSED.after(REFUSED)).isSameAs(REFUSED);
+		assertThat(ANSWERED.after(UNKNOWN)).isSameAs(ANSWERED);
+		assertThat(UNKNOWN.after(REFUSED)).isSameAs(UNKNOWN);
+	}
+
+}
--- /dev/null
+++ b/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/route/HedgerTests.java
@@ -0,0 +1,46 @@
+package org.redwingramp.daemon.internal.route;
+
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import org.junit.jupiter.api.Test;
+
+import org.redwingramp.daemon.internal.gate.GateReply;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a hedged request being reported as not run after its second send ended
+ * without an answer.
+ */
+class HedgerTests {
+
+	@Test
+	void shouldReportUnknownWhenTheSecondSendMayHaveRun() {
+		ExecutorService executor = Executors.newCachedThreadPool();
+		try {
+			CountDownLatch secondSent = new CountDownLatch(1);
+			GateReply reply = new Hedger(executor).send(1, () -> refusedAfter(secondSent), () -> {
+				secondSent.countDown();
+				return Optional.of(GateReply.failed(Problem.NO_ANSWER, "timeout", 1));
+			});
+			assertThat(reply.problem()).contains(Problem.NO_ANSWER);
+		}
+		finally {
+			executor.shutdownNow();
+		}
+	}
+
+	private static GateReply refusedAfter(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		return GateReply.refused(Problem.QUEUE_FULL, "full");
+	}
+
+}
