--- /dev/null
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/target/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A stand-in for the targets of a deployment.
+ */
+package org.redwingramp.bench.target;
