Keep one-way links alive after unexpected errors and limit nesting

Cause: a runtime exception would have ended a link's thread for good; an oversized one-way message replaced the connection each time; Thrift skips unknown nested fields recursively without a limit by default.

A connection made while the links are closing is closed too.

--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/PeerServer.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/PeerServer.java
@@ -10,7 +10,6 @@
 
 import org.apache.thrift.TProcessor;
 import org.apache.thrift.TProcessorFactory;
-import org.apache.thrift.protocol.TBinaryProtocol;
 import org.apache.thrift.server.TThreadPoolServer;
 import org.apache.thrift.transport.TTransport;
 
@@ -18,6 +17,7 @@
 import org.redwingramp.wire.internal.FrameTransport;
 import org.redwingramp.wire.internal.Listener;
 import org.redwingramp.wire.internal.ServerConnection;
+import org.redwingramp.wire.internal.WireProtocol;
 
 /**
  * Receives messages from other daemons. Each connection has a thread that also runs the
@@ -45,9 +45,8 @@
 		this.port = port;
 		this.watch = watch;
 		this.workers = workers(settings.maxConnections() + settings.maxPending());
-		TBinaryProtocol.Factory protocols = new TBinaryProtocol.Factory(true, true, settings.maxFrameBytes(), 0);
 		this.server = new TThreadPoolServer(new TThreadPoolServer.Args(port).processorFactory(processors)
-			.protocolFactory(protocols)
+			.protocolFactory(WireProtocol.factory(settings.maxFrameBytes()))
 			.executorService(this.workers)
 			.stopTimeoutVal(1));
 		this.acceptor = new Thread(this.server::serve, "wire-accept");
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/ConnectionWatch.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/ConnectionWatch.java
@@ -31,6 +31,9 @@
 
 	void add(FrameTransport connection) {
 		this.connections.add(connection);
+		if (!this.running) {
+			connection.close();
+		}
 	}
 
 	void remove(FrameTransport connection) {
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/Dialer.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/Dialer.java
@@ -74,6 +74,10 @@
 			.happened(new WireEvent(WireEvent.Type.MESSAGES_DROPPED, this.address, count + " messages dropped"));
 	}
 
+	void failed(RuntimeException failure) {
+		this.listener.happened(new WireEvent(WireEvent.Type.HANDLER_FAILED, this.address, failure.toString()));
+	}
+
 	private void report(WireEvent.Type type, String detail) {
 		if (this.reported.getAndSet(type) != type) {
 			this.listener.happened(new WireEvent(type, this.address, detail));
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/OneWaySender.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/OneWaySender.java
@@ -36,6 +36,8 @@
 
 	private final long connectNanos;
 
+	private final int maxPayloadBytes;
+
 	private final Thread thread;
 
 	private volatile boolean running = true;
@@ -55,13 +57,19 @@
 		this.silentNanos = TimeUnit.MILLISECONDS.toNanos(settings.silentMillis());
 		this.idleNanos = TimeUnit.MILLISECONDS.toNanos(settings.idleMillis());
 		this.connectNanos = TimeUnit.MILLISECONDS.toNanos(settings.connectMillis());
+		this.maxPayloadBytes = PeerConnection.maxPayloadBytes(settings);
 		this.thread = new Thread(this::run, "wire-send-" + address);
 		this.thread.setDaemon(true);
 		this.thread.start();
 	}
 
 	void send(Kind kind, byte[] payload) {
-		this.queue.add(new DroppingQueue.Message(kind, payload));
+		if (payload.length > this.maxPayloadBytes) {
+			this.dialer.dropped(1);
+		}
+		else {
+			this.queue.add(new DroppingQueue.Message(kind, payload));
+		}
 	}
 
 	void close() {
@@ -98,6 +106,10 @@
 		catch (TException | NotSentException | OutcomeUnknownException ex) {
 			fail();
 		}
+		catch (RuntimeException ex) {
+			this.dialer.failed(ex);
+			fail();
+		}
 	}
 
 	private long waitNanos() {
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/PeerConnection.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/PeerConnection.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.apache.thrift.TException;
-import org.apache.thrift.protocol.TBinaryProtocol;
+import org.apache.thrift.protocol.TProtocol;
 
 import org.redwingramp.wire.Answer;
 import org.redwingramp.wire.Kind;
@@ -57,7 +57,7 @@
 		this.address = address;
 		this.settings = settings;
 		this.transport = transport;
-		TBinaryProtocol protocol = new TBinaryProtocol(transport, settings.maxFrameBytes(), 0, true, true);
+		TProtocol protocol = WireProtocol.factory(settings.maxFrameBytes()).getProtocol(transport);
 		this.client = new PeerService.Client(protocol);
 		this.oneWay = new PeerService.Client(protocol);
 	}
@@ -190,8 +190,12 @@
 		this.oneWay.send_deliver(this.session.seal(++this.sequence, kind.code(), 0, 0, payload));
 	}
 
+	static int maxPayloadBytes(LinkSettings settings) {
+		return settings.maxFrameBytes() - ServerConnection.MAX_ENVELOPE_BYTES;
+	}
+
 	private void checkSize(byte[] payload) throws NotSentException {
-		int max = this.settings.maxFrameBytes() - ServerConnection.MAX_ENVELOPE_BYTES;
+		int max = maxPayloadBytes(this.settings);
 		if (payload.length > max) {
 			throw new NotSentException("A payload of " + payload.length + " bytes is over the limit of " + max);
 		}
