Sync the mark before old segments go, and file names at opening

Ruled out: an unsynced deletion or a reused segment number; the trace shows "mark 7" unsynced, segments 3 to 6 deleted, folder synced, loss of power.

Change: the mark is synced before segments are deleted, the folder before the mark is moved at opening.

--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/FileReplicaStore.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/FileReplicaStore.java
@@ -188,6 +188,7 @@
 			this.files.rename(this.layout.pendingSnapshot(current), this.layout.snapshot(current));
 			this.files.syncFolder(this.layout.folder());
 		}
+		this.writer.syncMark();
 		while (this.segments.size() > 1 && this.segments.get(this.segments.firstKey()) <= current) {
 			this.files.delete(this.layout.segment(this.segments.firstKey()));
 			this.segments.remove(this.segments.firstKey());
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/SegmentWriter.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/SegmentWriter.java
@@ -33,8 +33,8 @@
 	}
 
 	/**
-	 * Removes a torn tail and syncs what was found, since a batch that was read may not
-	 * be on the disk yet.
+	 * Removes a torn tail and syncs what was found, since batches and file names that
+	 * were read may not be on the disk yet.
 	 * @param torn whether bytes follow the last intact batch
 	 * @throws IOException if the segment can't be cut or synced
 	 */
@@ -43,6 +43,7 @@
 			this.segment.truncate(this.offset);
 		}
 		this.segment.sync();
+		this.files.syncFolder(this.layout.folder());
 		moveMark();
 		this.mark.sync();
 	}
@@ -55,6 +56,14 @@
 		return this.offset;
 	}
 
+	/**
+	 * Syncs the mark, so that it doesn't fall back to a segment that is deleted next.
+	 * @throws IOException if it can't be synced
+	 */
+	void syncMark() throws IOException {
+		this.mark.sync();
+	}
+
 	void append(Block block) throws IOException {
 		this.segment.write(block.encode(), this.offset);
 		this.segment.sync();
