--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/Measure.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/Measure.java
@@ -1,5 +1,7 @@
 package org.redwingramp.bench;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,6 +22,7 @@
 import org.redwingramp.bench.measure.FailureMeasures;
 import org.redwingramp.bench.measure.LoadMeasures;
 import org.redwingramp.bench.measure.PlacementMeasures;
+import org.redwingramp.bench.measure.Plot;
 import org.redwingramp.bench.measure.Result;
 import org.redwingramp.bench.measure.SlotMeasures;
 
@@ -39,6 +42,7 @@
 	private static final int THREADS = 4;
 
 	private static final Options OPTIONS = new Options().addOption(null, "quick", false, "short runs")
+		.addOption(null, "plots", true, "the directory that the plots are written to")
 		.addOption(null, "only", true, "the measures whose names contain this")
 		.addOption(null, "seed", true, "the seed of every run");
 
@@ -48,12 +52,15 @@
 	/**
 	 * Runs all measures.
 	 * @param args {@code --quick} for short runs, {@code --seed N} for another seed,
-	 * {@code --only NAME} for one kind of measure
+	 * {@code --only NAME} for one kind of measure, {@code --plots DIRECTORY} to write the
+	 * plots
+	 * @throws IOException if a plot can't be written
 	 * @throws ParseException if an argument is unknown or lacks its value
 	 * @throws InterruptedException if the run is interrupted
 	 * @throws ExecutionException if a case fails
 	 */
-	public static void main(String[] args) throws ParseException, InterruptedException, ExecutionException {
+	public static void main(String[] args)
+			throws IOException, ParseException, InterruptedException, ExecutionException {
 		CommandLine line = new DefaultParser().parse(OPTIONS, args);
 		long seed = Long.parseLong(line.getOptionValue("seed", DEFAULT_SEED));
 		int seconds = (line.hasOption("quick")) ? QUICK_SECONDS : SECONDS;
@@ -63,7 +70,13 @@
 			.flatMap((family) -> Deployment.ALL.stream().map(family.getValue()))
 			.flatMap(List::stream)
 			.toList();
-		run(cases).forEach((result) -> System.out.println(result.json()));
+		List<Result> results = run(cases);
+		results.forEach((result) -> System.out.println(result.json()));
+		if (line.hasOption("plots")) {
+			for (Plot plot : Plot.ALL) {
+				plot.write(Path.of(line.getOptionValue("plots")), results);
+			}
+		}
 	}
 
 	private static Map<String, Function<Deployment, List<Callable<List<Result>>>>> families(long seed, int seconds) {
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/FailureMeasures.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/FailureMeasures.java
@@ -86,7 +86,7 @@
 			mover.comeBack(domain);
 		});
 		RunResult run = model.run(LOAD * deployment.capacity(service), WARM_UP + this.measured);
-		String name = service.name() + " " + setup.safeguards().name();
+		String name = service.name() + " leaves and returns " + setup.safeguards().name();
 		Figures figures = new Figures(deployment, "failure-domain", name, run, this.seed);
 		List<Result> results = new ArrayList<>(results(model, figures, run));
 		results.add(figures.of("last new work", (lastWork[0] - WARM_UP) / (double) VirtualTime.SECONDS, "s"));
@@ -100,8 +100,8 @@
 		results.add(figures.of("p99", run.millis(99), "ms"));
 		results.add(figures.of("p99.9", run.millis(99.9), "ms"));
 		if (model.sharded()) {
-			results.add(figures.of("mean per slice", model.shards().meanUnavailableMillis(), "ms"));
-			results.add(figures.of("longest of a slice", model.shards().longestUnavailableMillis(), "ms"));
+			results.add(figures.of("mean of slices", model.shards().meanUnavailableMillis(), "ms"));
+			results.add(figures.of("longest", model.shards().longestUnavailableMillis(), "ms"));
 			results.add(figures.of("slices moved", model.shards().moves(), "slices"));
 		}
 		return results;
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/LoadMeasures.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/LoadMeasures.java
@@ -118,7 +118,7 @@
 	private List<Result> overload(Deployment deployment, Service service, Safeguards safeguards, double load) {
 		ServiceModel model = new ServiceModel(deployment, service, safeguards, this.seed, WARM_UP);
 		RunResult run = model.run(load * deployment.capacity(service), WARM_UP + this.measured);
-		double goodput = run.answered() * (double) VirtualTime.SECONDS / this.measured / deployment.capacity(service);
+		double goodput = run.goodput() / deployment.capacity(service);
 		String name = service.name() + " load=" + load + " " + safeguards.name();
 		Figures figures = new Figures(deployment, "overload", name, run, this.seed);
 		return List.of(figures.of("goodput", goodput, "of capacity"),
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/PlacementMeasures.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/PlacementMeasures.java
@@ -20,6 +20,10 @@
 	/** The design's time for a changed set of hot keys to be balanced again. */
 	private static final int MINUTE_ROUNDS = 60;
 
+	private static final String RATIO = "max/mean";
+
+	private static final String KEYS = "share of keys";
+
 	private final long seed;
 
 	/**
@@ -49,15 +53,15 @@
 			.collect(Collectors.toSet());
 		List<Result> results = new ArrayList<>();
 		keys.settle(MINUTE_ROUNDS);
-		record(deployment, name + " first placement", keys, results);
+		record(deployment, "first placement " + name, keys, results);
 		keys.changeHotKeys();
-		results.add(result(deployment, "imbalance", name + " hot keys just changed", keys.imbalance(), "max/mean"));
+		results.add(result(deployment, "imbalance", "hot keys changed " + name + " at once", keys.imbalance(), RATIO));
 		keys.settle(MINUTE_ROUNDS);
-		record(deployment, name + " hot keys changed", keys, results);
-		event(deployment, name + " target lost", keys, Set.of(1), results);
-		event(deployment, name + " target returned", keys, Set.of(), results);
-		event(deployment, name + " domain out", keys, domain, results);
-		event(deployment, name + " domain returned", keys, Set.of(), results);
+		record(deployment, "hot keys changed " + name, keys, results);
+		event(deployment, "target lost " + name, keys, Set.of(1), results);
+		event(deployment, "target returned " + name, keys, Set.of(), results);
+		event(deployment, "domain out " + name, keys, domain, results);
+		event(deployment, "domain returned " + name, keys, Set.of(), results);
 		return results;
 	}
 
@@ -68,10 +72,9 @@
 	}
 
 	private void record(Deployment deployment, String name, PlacedKeys keys, List<Result> results) {
-		results.add(result(deployment, "imbalance", name + " after a minute", keys.imbalance(), "max/mean"));
-		results.add(result(deployment, "churn", name + " keys moved", keys.churn(), "share of keys"));
-		results.add(result(deployment, "churn", name + " keys of the targets concerned", keys.concerned(),
-				"share of keys"));
+		results.add(result(deployment, "imbalance", name + " after a minute", keys.imbalance(), RATIO));
+		results.add(result(deployment, "churn", name + " keys moved", keys.churn(), KEYS));
+		results.add(result(deployment, "churn", name + " keys concerned", keys.concerned(), KEYS));
 		keys.mark();
 	}
 
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/RunResult.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/RunResult.java
@@ -22,7 +22,9 @@
 
 	private long answered;
 
-	private long refused;
+	private long answeredInTime;
+
+	private long until = Long.MAX_VALUE;
 
 	private long attempts;
 
@@ -30,6 +32,15 @@
 		this.from = from;
 	}
 
+	/**
+	 * Ends the measured time for goodput. Requests that are answered after the load has
+	 * ended would count a queue's worth of answers too many.
+	 * @param end the time of the last arrival
+	 */
+	void until(long end) {
+		this.until = end;
+	}
+
 	void arrived(long time) {
 		if (time >= this.from) {
 			this.requests++;
@@ -47,15 +58,15 @@
 	 * @param arrival when the caller sent the request
 	 * @param nanos the time from the caller's send to its answer, or the deadline
 	 * @param success whether the answer came in time
-	 * @param refusal whether the request was refused as not run
 	 */
-	void ended(long arrival, long nanos, boolean success, boolean refusal) {
+	void ended(long arrival, long nanos, boolean success) {
+		long end = arrival + nanos;
+		this.answeredInTime += (success && end >= this.from && end <= this.until) ? 1 : 0;
 		if (arrival < this.from) {
 			return;
 		}
 		this.latency.recordValue(Math.max(1, nanos));
 		this.answered += (success) ? 1 : 0;
-		this.refused += (refusal) ? 1 : 0;
 		bucket(arrival)[1] += (success) ? 1 : 0;
 	}
 
@@ -88,12 +99,12 @@
 		return this.requests;
 	}
 
-	long answered() {
-		return this.answered;
-	}
-
-	long refused() {
-		return this.refused;
+	/**
+	 * Returns the rate of answers while the load lasts.
+	 * @return answers per second
+	 */
+	double goodput() {
+		return this.answeredInTime * (double) VirtualTime.SECONDS / (this.until - this.from);
 	}
 
 	double answeredShare() {
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ServiceModel.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ServiceModel.java
@@ -206,6 +206,7 @@
 	 * @return what the callers saw
 	 */
 	RunResult run(double rate, long end) {
+		this.result.until(end);
 		arrive(rate, end);
 		this.time.run(end + 2 * DEADLINE);
 		return this.result;
@@ -281,7 +282,7 @@
 		}
 		Optional<Integer> chosen = choose(request);
 		if (chosen.isEmpty()) {
-			end(request, false, true);
+			end(request, false);
 			return;
 		}
 		int target = chosen.get();
@@ -342,7 +343,7 @@
 				return;
 			}
 			if (gateResult == GateResult.ANSWERED) {
-				end(request, true, false);
+				end(request, true);
 			}
 			else if (request.open.isEmpty()) {
 				retry(request, gateResult);
@@ -358,20 +359,20 @@
 			send(request);
 		}
 		else {
-			end(request, false, gateResult == GateResult.NOT_SENT);
+			end(request, false);
 		}
 	}
 
-	private void end(ModelRequest request, boolean success, boolean refusal) {
+	private void end(ModelRequest request, boolean success) {
 		request.done = true;
 		stopOpenSends(request, GateResult.CANCELLED);
 		long nanos = this.time.now() + this.deployment.callerNanos() - request.arrival;
 		if (success && nanos <= DEADLINE) {
 			this.hedges.answered(nanos - this.deployment.callerNanos() * 2);
-			this.result.ended(request.arrival, nanos, true, false);
+			this.result.ended(request.arrival, nanos, true);
 		}
 		else {
-			this.result.ended(request.arrival, DEADLINE, false, refusal);
+			this.result.ended(request.arrival, DEADLINE, false);
 		}
 	}
 
@@ -379,7 +380,7 @@
 		if (!request.done) {
 			request.done = true;
 			stopOpenSends(request, GateResult.LOST);
-			this.result.ended(request.arrival, DEADLINE, false, false);
+			this.result.ended(request.arrival, DEADLINE, false);
 		}
 	}
 
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/SlotMeasures.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/SlotMeasures.java
@@ -58,7 +58,7 @@
 		Run run = new Run(deployment, way, this.seed);
 		run.arrive(load * rate(deployment), WARM_UP + this.measured);
 		run.time.run(WARM_UP + this.measured);
-		String name = way.label + " load=" + load;
+		String name = "load=" + load + " " + way.label;
 		return List.of(result(deployment, name + " added p50", run.added.getValueAtPercentile(50) / 1e6, "ms", run),
 				result(deployment, name + " added p99", run.added.getValueAtPercentile(99) / 1e6, "ms", run),
 				result(deployment, name + " idle while requests wait",
@@ -74,9 +74,9 @@
 		run.time.at(WARM_UP + FILL, run.sharing::loseWorstEntry);
 		run.time.run(WARM_UP + this.measured);
 		return List.of(
-				result(deployment, way.label + " entry lost, most above the slots",
+				result(deployment, "entry lost " + way.label + " most above the slots",
 						Math.max(0, run.target.mostRunning() - deployment.slots()), "requests", run),
-				result(deployment, way.label + " entry lost, work above the slots", run.over, "request-ms", run));
+				result(deployment, "entry lost " + way.label + " work above the slots", run.over, "request-ms", run));
 	}
 
 	private double rate(Deployment deployment) {
@@ -89,7 +89,7 @@
 
 	private enum Way {
 
-		GATE("one gate"), HEARTBEAT("leased by heartbeat"), DEMAND("leased on demand");
+		GATE("one-gate"), HEARTBEAT("leased-by-heartbeat"), DEMAND("leased-on-demand");
 
 		private final String label;
 
