Write log lines on a thread of their own

Cause: each request writes two lines; each was written and flushed to standard error under one lock by the request's thread. Change: a bounded ring and one writing thread that flushes when no line waits. Publishers wait while the ring is full, so no line is dropped; a killed process loses the lines that are still in the ring.

--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/DaemonMain.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/DaemonMain.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
+import java.util.logging.Handler;
 
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -98,8 +99,9 @@
 
 	private int serve(Settings settings) {
 		StopSignal signal = StopSignal.install();
+		Optional<Handler> log = Optional.empty();
 		try {
-			LogSetup.apply(settings.logging());
+			log = Optional.of(LogSetup.apply(settings.logging()));
 			Daemon daemon = DaggerDaemonComponent.builder()
 				.daemonModule(new DaemonModule(settings, openStore(settings)))
 				.build()
@@ -115,6 +117,7 @@
 			return CANNOT_START;
 		}
 		finally {
+			log.ifPresent(Handler::close);
 			signal.handled();
 		}
 	}
--- /dev/null
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/RingLogHandler.java
@@ -0,0 +1,95 @@
+package org.redwingramp.daemon.internal.runtime;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.ErrorManager;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+
+import com.lmax.disruptor.LiteBlockingWaitStrategy;
+import com.lmax.disruptor.TimeoutException;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+
+/**
+ * Writes log lines on a thread of its own, so that no request waits for another's line to
+ * be written. Thread safe.
+ *
+ * <p>
+ * Invariants: lines keep the order in which they were published; a publisher waits while
+ * the ring is full, so no line is dropped; {@link #close} writes what was published.
+ */
+final class RingLogHandler extends Handler {
+
+	private static final int RING_SIZE = 4_096;
+
+	private static final long CLOSE_SECONDS = 5;
+
+	private final Disruptor<Slot> disruptor = new Disruptor<>(Slot::new, RING_SIZE, RingLogHandler::thread,
+			ProducerType.MULTI, new LiteBlockingWaitStrategy());
+
+	private final OutputStream out;
+
+	// The output must be buffered; it is flushed when no further line waits.
+	RingLogHandler(OutputStream out, Formatter formatter) {
+		this.out = out;
+		setFormatter(formatter);
+		this.disruptor.handleEventsWith((slot, sequence, endOfBatch) -> write(slot, endOfBatch));
+		this.disruptor.start();
+	}
+
+	private static Thread thread(Runnable task) {
+		Thread thread = new Thread(task, "log");
+		thread.setDaemon(true);
+		return thread;
+	}
+
+	@Override
+	public void publish(LogRecord record) {
+		if (isLoggable(record)) {
+			this.disruptor.publishEvent((slot, sequence) -> slot.record = record);
+		}
+	}
+
+	private void write(Slot slot, boolean endOfBatch) {
+		LogRecord record = slot.record;
+		slot.record = null;
+		try {
+			this.out.write(getFormatter().format(record).getBytes(StandardCharsets.UTF_8));
+			if (endOfBatch) {
+				this.out.flush();
+			}
+		}
+		catch (IOException ex) {
+			reportError("a log line can't be written", ex, ErrorManager.WRITE_FAILURE);
+		}
+	}
+
+	@Override
+	public void flush() {
+		// The writing thread flushes.
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.disruptor.shutdown(CLOSE_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (TimeoutException ex) {
+			reportError("log lines are lost", ex, ErrorManager.CLOSE_FAILURE);
+		}
+	}
+
+	/**
+	 * A place of the ring. Owned by whoever the ring hands it to.
+	 */
+	private static final class Slot {
+
+		private LogRecord record;
+
+	}
+
+}
