Give Flogger the log site

Cause: Flogger walks the stack for each line to find the place that logs, which the line doesn't show. Change: the invalid log site is injected.

--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/events/EventLog.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/events/EventLog.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.LogSite;
 
 /**
  * Writes numbered events by Flogger. Stateless and thread safe.
@@ -30,7 +31,10 @@
 		for (int i = 0; i < arguments.length; i++) {
 			clean[i] = clean(String.valueOf(arguments[i]));
 		}
-		logger.at(event.level()).log("%s %s", event.code(), String.format(Locale.ROOT, event.template(), clean));
+		// Without a given log site Flogger walks the stack for each line to find it.
+		logger.at(event.level())
+			.withInjectedLogSite(LogSite.INVALID)
+			.log("%s %s", event.code(), String.format(Locale.ROOT, event.template(), clean));
 	}
 
 	private static String clean(String value) {
