--- /dev/null
+++ b/redwingramp-bench/src/test/java/org/redwingramp/bench/usecase/SingleDaemon.java
@@ -0,0 +1,183 @@
+package org.redwingramp.bench.usecase;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.redwingramp.bench.target.StandInTarget;
+import org.redwingramp.bench.target.TargetOptions;
+import org.redwingramp.daemon.EmbeddedDaemon;
+import org.redwingramp.records.Settings;
+import org.redwingramp.records.SettingsParseResult;
+import org.redwingramp.records.SettingsParser;
+
+/**
+ * One daemon with both roles in this process, and requests to it by plain HTTP.
+ */
+final class SingleDaemon implements AutoCloseable {
+
+	static final String OPERATOR_TOKEN = "operator-token-for-tests";
+
+	static final String TARGET_TOKEN = "target-token-for-tests-0";
+
+	private static final String RECORD = """
+			schema = 1
+			kind = "service"
+			name = "taller-svc"
+			version = 1
+			[service]
+			key_path_segment = 1
+			slices = 16
+			slots = 3
+			connections = 10
+			queue_limit = 64
+			default_deadline_ms = 5000
+			max_deadline_ms = 10000
+			retention_s = 3600
+			checks_fences = true
+			idempotent = ["GET /history"]
+			at_most_once = ["POST /visits"]
+			deferrable = []
+			""";
+
+	private final HttpClient client = HttpClient.newHttpClient();
+
+	private final int callerPort = freePort();
+
+	private final int operatorPort = freePort();
+
+	private final int internalPort = freePort();
+
+	private final EmbeddedDaemon daemon;
+
+	SingleDaemon(Path folder) throws Exception {
+		this.daemon = EmbeddedDaemon.start(settings(folder));
+		await(this.daemon::ready);
+	}
+
+	int callerPort() {
+		return this.callerPort;
+	}
+
+	int internalPort() {
+		return this.internalPort;
+	}
+
+	/** Starts a target, announces it and waits until it serves keys. */
+	StandInTarget serveWithTarget() throws Exception {
+		await(() -> send(operator("/v1/records").POST(HttpRequest.BodyPublishers.ofString(RECORD))
+			.header("Content-Type", "application/toml")).statusCode() == 200);
+		StandInTarget target = new StandInTarget(new TargetOptions("taller-01", "taller-svc", "127.0.0.1", 0,
+				"zona-capital", 3, 10, List.of(), TARGET_TOKEN, 1, true));
+		String address = target.open();
+		await(() -> announce("taller-01", address, target.bootId(), TARGET_TOKEN).statusCode() == 200);
+		await(() -> get("/taller-svc/history/wok-1").statusCode() == 200);
+		return target;
+	}
+
+	HttpResponse<String> announce(String name, String address, String bootId, String token)
+			throws IOException, InterruptedException {
+		String body = """
+				{"service":"taller-svc","address":"%s","failureDomain":"zona-capital","slots":3,
+				 "connections":10,"bootId":"%s","checksFences":true}""".formatted(address, bootId);
+		return send(request(this.callerPort, "/.redwingramp/v1/targets/" + name)
+			.PUT(HttpRequest.BodyPublishers.ofString(body))
+			.header("Authorization", "Bearer " + token));
+	}
+
+	HttpResponse<String> get(String path) throws IOException, InterruptedException {
+		return send(request(this.callerPort, path).GET());
+	}
+
+	HttpResponse<String> book(String path, String key, String body) throws IOException, InterruptedException {
+		return send(request(this.callerPort, path).POST(HttpRequest.BodyPublishers.ofString(body))
+			.header("Idempotency-Key", key)
+			.header("Redwingramp-Issued", Long.toString(System.currentTimeMillis() / 100_000 * 100_000)));
+	}
+
+	HttpRequest.Builder caller(String path) {
+		return request(this.callerPort, path);
+	}
+
+	HttpRequest.Builder operator(String path) {
+		return request(this.operatorPort, path).header("Authorization", "Bearer " + OPERATOR_TOKEN);
+	}
+
+	HttpRequest.Builder stranger(String path) {
+		return request(this.operatorPort, path);
+	}
+
+	HttpResponse<String> send(HttpRequest.Builder request) throws IOException, InterruptedException {
+		return this.client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+	}
+
+	private static HttpRequest.Builder request(int port, String path) {
+		return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path));
+	}
+
+	static void await(Condition condition) throws Exception {
+		for (int i = 0; i < 400; i++) {
+			if (condition.holds()) {
+				return;
+			}
+			TimeUnit.MILLISECONDS.sleep(25);
+		}
+		throw new AssertionError("the condition did not hold within 10 s");
+	}
+
+	private Settings settings(Path folder) {
+		String text = """
+				[instance]
+				name = "single"
+				failure_domain = "zona-capital"
+				region = "guate-central"
+				roles = ["control", "entry"]
+				[listen]
+				callers = "127.0.0.1:%d"
+				operators = "127.0.0.1:%d"
+				internal = "127.0.0.1:%d"
+				[control]
+				replicas = [{ name = "single", address = "127.0.0.1:%d" }]
+				data_folder = "%s"
+				[operators]
+				tokens = { test = "%s" }
+				[targets]
+				token = "%s"
+				[internal]
+				shared_key = "shared-key-for-tests-0123456789abcdef"
+				[limits]
+				max_concurrent_requests = 64
+				""".formatted(this.callerPort, this.operatorPort, this.internalPort, this.internalPort,
+				folder.resolve("data"), OPERATOR_TOKEN, TARGET_TOKEN);
+		SettingsParseResult result = SettingsParser.parse(folder.resolve("single.toml").toString(),
+				text.getBytes(StandardCharsets.UTF_8));
+		return result.settings().orElseThrow(() -> new AssertionError(result.findings()));
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+	}
+
+	@Override
+	public void close() throws Exception {
+		this.daemon.close();
+	}
+
+	/** Something that becomes true. */
+	interface Condition {
+
+		boolean holds() throws Exception;
+
+	}
+
+}
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/DaemonComponent.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/DaemonComponent.java
@@ -17,4 +17,10 @@
 	 */
 	Daemon daemon();
 
+	/**
+	 * Returns the daemon's health.
+	 * @return the health
+	 */
+	DaemonHealth health();
+
 }
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/DaemonMain.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/DaemonMain.java
@@ -14,14 +14,10 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 
-import org.redwingramp.daemon.internal.control.ControlRole;
-import org.redwingramp.daemon.internal.control.ControlRole.OpenStore;
 import org.redwingramp.records.Finding;
-import org.redwingramp.records.InstanceRole;
 import org.redwingramp.records.Settings;
 import org.redwingramp.records.SettingsParseResult;
 import org.redwingramp.records.SettingsParser;
-import org.redwingramp.storage.StorageException;
 
 /**
  * Reads the command line and the settings, starts the daemon and stops it on SIGTERM. Not
@@ -102,11 +98,7 @@
 		Optional<Handler> log = Optional.empty();
 		try {
 			log = Optional.of(LogSetup.apply(settings.logging()));
-			Daemon daemon = DaggerDaemonComponent.builder()
-				.daemonModule(new DaemonModule(settings, openStore(settings)))
-				.build()
-				.daemon();
-			daemon.start();
+			RunningDaemon daemon = RunningDaemon.start(settings);
 			signal.await();
 			daemon.stop();
 			return OK;
@@ -122,14 +114,6 @@
 		}
 	}
 
-	private static Optional<OpenStore> openStore(Settings settings) throws StorageException {
-		if (!settings.has(InstanceRole.CONTROL)) {
-			return Optional.empty();
-		}
-		Path folder = settings.control().dataFolder().orElseThrow();
-		return Optional.of(ControlRole.open(folder, settings.instance().name()));
-	}
-
 	private static Options options() {
 		return new Options()
 			.addOption(Option.builder().longOpt("settings").hasArg().argName("FILE").desc("the settings in TOML").get())
