Close the gaps that mutation trials found in the control tests

Not noticed: unowning the shards of a new run at once (the test accepted an empty list), counting the gate's own lease from the arrival of the reading, and dispatching before the target has acknowledged the shard. Each now has a check.

--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/EntryAgentTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/EntryAgentTests.java
@@ -80,6 +80,33 @@
 		assertThat(mayDispatch(0)).isFalse();
 	}
 
+	@Test
+	void shouldDispatchOnlyOnceTheTargetHasAcknowledgedTheShard() throws InvariantViolatedException {
+		grant();
+		grant();
+		this.driver.own("t1", 2);
+		beat();
+		assertThat(mayDispatch(1)).isTrue();
+		assertThat(mayDispatch(2)).isFalse();
+		grant();
+		assertThat(mayDispatch(2)).isTrue();
+	}
+
+	@Test
+	void shouldCountTheGrantLeaseFromTheSendTimeOfTheGrantThatFetchedTheReading() {
+		Grant first = this.agent.nextGrant("t1", this.now);
+		long sent = this.now;
+		this.now += 150 * MS;
+		this.agent.grantReply("t1", first.epoch(), new GrantReply(CLOCK, "t1-boot-1", first.epoch(), 0), this.now);
+		Grant second = this.agent.nextGrant("t1", this.now);
+		this.agent.grantReply("t1", first.epoch(), new GrantReply(CLOCK + 1, "t1-boot-1", first.epoch(), 0), this.now);
+		assertThat(second.leaseUntilMillis()).isEqualTo(CLOCK + 400);
+		this.now = sent + TIMING.heldNanos(TIMING.grantLeaseNanos()) - 1;
+		assertThat(mayDispatch(0)).isTrue();
+		this.now++;
+		assertThat(mayDispatch(0)).isFalse();
+	}
+
 	@Test
 	void shouldNeverGrantBeyondTheGateLease() {
 		grant();
--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/OwnershipRulesTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/OwnershipRulesTests.java
@@ -49,7 +49,7 @@
 		TargetSpec second = Fixtures.target("t1", Fixtures.KEYED, "zona-capital", "t1-boot-2");
 		this.driver.apply(new Command.AnnounceTarget(second));
 		assertThat(this.driver.target("t1").gateEpoch()).isEqualTo(epoch + 1);
-		assertThat(this.driver.state.view().shardsOf("t1"))
+		assertThat(this.driver.state.view().shardsOf("t1")).hasSize(4)
 			.allSatisfy((shard) -> assertThat(shard.phase()).isEqualTo(ShardPhase.RELEASING));
 		assertThat(this.driver.refusal(new Command.TargetLost("t1", "t1-boot-1", epoch))).isEqualTo(RefusalCode.STALE);
 		assertThat(this.driver.refusal(new Command.DrainTarget("t1", "t1-boot-1"))).isEqualTo(RefusalCode.STALE);
