Keep a target draining that is lost while it drains

A target that froze while it drained was marked as lost, and its next announcement made it ready again, so a target that is leaving got new work. It now stays draining without shards and without a gate, is removed after 10 minutes like other lost targets, and its name is free for another address.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/GatePlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/GatePlanner.java
@@ -85,7 +85,7 @@
 			.stream()
 			.filter((state) -> state.record().kind() == RecordKind.SERVICE)
 			.flatMap((state) -> view.targets(((RecordBody.Service) state.record().body()).name()).stream())
-			.filter((target) -> target.phase().needsGate())
+			.filter((target) -> target.phase().needsGate() && !TargetRules.gone(target, view))
 			.toList();
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/LostTargets.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/LostTargets.java
@@ -8,7 +8,6 @@
 import org.redwingramp.core.control.Command;
 import org.redwingramp.core.control.ControlView;
 import org.redwingramp.core.control.RecordState;
-import org.redwingramp.core.control.TargetPhase;
 import org.redwingramp.core.control.TargetState;
 import org.redwingramp.core.model.RecordBody;
 
@@ -29,7 +28,7 @@
 			.map(RecordState::record)
 			.filter((record) -> record.body() instanceof RecordBody.Service)
 			.flatMap((record) -> view.targets(record.name()).stream())
-			.filter((target) -> target.phase() == TargetPhase.LOST)
+			.filter((target) -> TargetRules.gone(target, view))
 			.collect(Collectors.toMap((target) -> target.spec().name(), (target) -> target));
 		this.lostSince.keySet().retainAll(Set.copyOf(lost.keySet()));
 		lost.keySet().stream().sorted().forEach((name) -> {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/TargetRules.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/TargetRules.java
@@ -5,6 +5,7 @@
 import org.redwingramp.core.control.Command;
 import org.redwingramp.core.control.CommandResult;
 import org.redwingramp.core.control.CommandResult.Refused;
+import org.redwingramp.core.control.ControlView;
 import org.redwingramp.core.control.TargetPhase;
 import org.redwingramp.core.control.TargetState;
 import org.redwingramp.core.control.ViewUpdate.Removed;
@@ -59,7 +60,7 @@
 					? Optional.of(Refusals.limitReached("targets", MAX_TARGETS)) : Optional.empty();
 		}
 		TargetSpec former = current.get().spec();
-		if (current.get().phase() != TargetPhase.LOST && !former.address().equals(spec.address())) {
+		if (!gone(current.get(), view) && !former.address().equals(spec.address())) {
 			return Optional.of(Refusals.nameTaken(spec.name(), former.address()));
 		}
 		boolean owning = !view.shardsOf(spec.name()).isEmpty();
@@ -103,7 +104,7 @@
 
 	static CommandResult lost(Command.TargetLost command, ViewChanges changes) {
 		return withRun(command.name(), command.bootId(), changes, (target) -> {
-			if (target.phase() == TargetPhase.LOST) {
+			if (gone(target, changes.base())) {
 				return applied(changes);
 			}
 			if (target.gateEpoch() != command.gateEpoch()) {
@@ -111,11 +112,24 @@
 						+ command.gateEpoch());
 			}
 			ShardRules.unownAll(target, changes);
-			changes.put(new TargetState(target.spec(), TargetPhase.LOST, "", target.gateEpoch(), 0));
+			TargetPhase phase = (target.phase() == TargetPhase.DRAINING) ? TargetPhase.DRAINING : TargetPhase.LOST;
+			changes.put(new TargetState(target.spec(), phase, "", target.gateEpoch(), 0));
 			return applied(changes);
 		});
 	}
 
+	/**
+	 * Returns whether a target is lost. One that is lost while it drains stays draining,
+	 * so that it gets no new work if it goes on and renews its announcement.
+	 * @param target the target
+	 * @param view the view
+	 * @return whether it is lost, also while it drains
+	 */
+	static boolean gone(TargetState target, ControlView view) {
+		return target.phase() == TargetPhase.LOST || (target.phase() == TargetPhase.DRAINING && target.gate().isEmpty()
+				&& view.shardsOf(target.spec().name()).isEmpty());
+	}
+
 	private static CommandResult withRun(String name, String bootId, ViewChanges changes,
 			java.util.function.Function<TargetState, CommandResult> rule) {
 		Optional<TargetState> current = changes.base().target(name);
--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterFaultTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterFaultTests.java
@@ -77,7 +77,7 @@
 		FakeEntry entry = cluster.entries.get("e" + random.nextInt(3));
 		FakeTarget target = cluster.targets.get("t" + random.nextInt(6));
 		TargetSpec spec = target.spec;
-		switch (random.nextInt(13)) {
+		switch (random.nextInt(14)) {
 			case 0 -> entry.toggleRunning();
 			case 1 -> cluster.addEntry(entry.spec.name(), entry.spec.failureDomain());
 			case 2 -> target.freeze();
@@ -87,6 +87,7 @@
 			case 6 -> cluster.toggleLeader();
 			case 7 -> domain(cluster, spec.failureDomain(), random.nextBoolean() ? DomainState.OUT : DomainState.IN);
 			case 8 -> splitOrRelease(cluster, random);
+			case 12 -> cluster.apply(new Command.DrainTarget(spec.name(), spec.bootId()));
 			case 9, 10, 11 -> entry.toggleConnected();
 			default -> entry.leave();
 		}
@@ -133,6 +134,9 @@
 		}
 		for (int i = 0; i < 6; i++) {
 			thaw(cluster, cluster.targets.get("t" + i));
+			if (cluster.view().target("t" + i).orElseThrow().phase() == TargetPhase.DRAINING) {
+				announce(cluster, i);
+			}
 		}
 	}
 
--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/ClusterTests.java
@@ -112,6 +112,18 @@
 		assertThat(this.cluster.driver.refusal(new Command.TargetLeft("t2", "boot-1"))).isNull();
 	}
 
+	@Test
+	void shouldGiveNoGateToATargetThatIsLostWhileItDrains() throws InvariantViolatedException {
+		this.cluster.targets.get("t2").freeze();
+		this.cluster.apply(new Command.DrainTarget("t2", "boot-1"));
+		this.cluster.runUntil(3 * SECOND, () -> owned("t2") == 0 && settled() && target("t2").gate().isEmpty());
+		this.cluster.targets.get("t2").thaw();
+		this.cluster.apply(new Command.AnnounceTarget(this.cluster.targets.get("t2").spec));
+		this.cluster.run(2 * SECOND);
+		assertThat(target("t2").gate()).isEmpty();
+		assertThat(target("t2").phase()).isEqualTo(TargetPhase.DRAINING);
+	}
+
 	@Test
 	void shouldSplitAHotKeyAndMergeItWhenItIsCold() throws InvariantViolatedException {
 		ShardId hot = ShardId.hotKey(Fixtures.KEYED, KeyHash.slice("wok-1", 32), "wok-1");
--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/OwnershipRulesTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/OwnershipRulesTests.java
@@ -81,6 +81,18 @@
 		assertThat(this.driver.target("t1").phase()).isEqualTo(TargetPhase.READY);
 	}
 
+	@Test
+	void shouldKeepATargetDrainingThatIsLostWhileItDrains() throws InvariantViolatedException {
+		this.driver.apply(new Command.DrainTarget("t1", "t1-boot-1"));
+		this.driver.apply(new Command.TargetLost("t1", "t1-boot-1", this.driver.target("t1").gateEpoch()));
+		assertThat(this.driver.slice(0).phase()).isEqualTo(ShardPhase.UNOWNED);
+		this.driver.apply(new Command.AnnounceTarget(Fixtures.target("t1")));
+		assertThat(this.driver.target("t1").phase()).isEqualTo(TargetPhase.DRAINING);
+		TargetSpec elsewhere = new TargetSpec("t1", Fixtures.KEYED, "127.0.0.9:1", "zona-mixco", 3, 110, "x", true);
+		assertThat(this.driver.refusal(new Command.AnnounceTarget(elsewhere))).isNull();
+		assertThat(this.driver.target("t1").phase()).isEqualTo(TargetPhase.READY);
+	}
+
 	@Test
 	void shouldRefuseToRemoveATargetThatOwnsShards() throws InvariantViolatedException {
 		this.driver.apply(new Command.DrainTarget("t1", "t1-boot-1"));
