--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
@@ -150,16 +150,19 @@
 	@Test
 	void shouldKeepConnectionsForControlCalls() throws Exception {
 		ExecutorService callers = Executors.newCachedThreadPool();
-		try {
-			for (int i = 0; i < 50; i++) {
-				callers.submit(() -> this.fixture.call("freeze"));
+		LinkSettings few = new LinkSettings(1 << 20, 16, 2, 4, 300, 100, 250, 200, 1000, 20, 100);
+		try (PeerLinks links = PeerLinks.open(WireFixture.self("entry", "c1"), few, WireListener.NONE)) {
+			for (int i = 0; i < 10; i++) {
+				callers.submit(() -> links.call(this.fixture.address(), Kind.FORWARD, "freeze".getBytes(),
+						Duration.ofSeconds(3)));
 			}
 			WireFixture.sleep(300);
 			for (int i = 0; i < 20; i++) {
-				assertThat(this.fixture.links
-					.call(this.fixture.address(), Kind.HEARTBEAT, new byte[10], Duration.ofMillis(200))
+				assertThat(links.call(this.fixture.address(), Kind.HEARTBEAT, new byte[10], Duration.ofMillis(200))
 					.payload()).hasSize(10);
 			}
+			assertThatExceptionOfType(NotSentException.class).isThrownBy(
+					() -> links.call(this.fixture.address(), Kind.FORWARD, new byte[10], Duration.ofMillis(100)));
 		}
 		finally {
 			callers.shutdownNow();
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/WireFixture.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/WireFixture.java
@@ -44,7 +44,12 @@
 		this.links = PeerLinks.open(self("entry", "c1"), LinkSettings.DEFAULT, this.linkEvents::add);
 	}
 
-	static InetSocketAddress loopback(int port) {
+	/**
+	 * Creates an address on loopback.
+	 * @param port the port
+	 * @return the address
+	 */
+	public static InetSocketAddress loopback(int port) {
 		return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
 	}
 
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/internal/StrangerTests.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/internal/StrangerTests.java
@@ -211,7 +211,9 @@
 			TFramedTransport framed = (TFramedTransport) client.getOutputProtocol().getTransport();
 			framed.getInnerTransport().write(ByteBuffer.allocate(4).putInt(length).array());
 			framed.getInnerTransport().flush();
+			long start = System.nanoTime();
 			assertThatExceptionOfType(TTransportException.class).isThrownBy(client::recv_call);
+			assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(3));
 		}
 		WireFixture.awaitEvent(this.fixture.serverEvents, WireEvent.Type.OVERSIZED);
 	}
