--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ShardPlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ShardPlanner.java
@@ -12,10 +12,12 @@
 import org.redwingramp.core.control.Command.FencedShard;
 import org.redwingramp.core.control.Command.ShardAssignment;
 import org.redwingramp.core.control.ControlView;
+import org.redwingramp.core.control.RecordState;
 import org.redwingramp.core.control.ShardPhase;
 import org.redwingramp.core.control.ShardState;
 import org.redwingramp.core.control.TargetState;
 import org.redwingramp.core.model.RecordBody;
+import org.redwingramp.core.model.RecordKind;
 import org.redwingramp.core.model.ShardId;
 import org.redwingramp.core.placement.PlacementPolicy;
 import org.redwingramp.core.placement.PlacementPolicy.Move;
@@ -36,10 +38,21 @@
 	/** Added to each load, so that idle shards spread evenly. */
 	private static final double BASE_LOAD = 1;
 
+	/** Bounds the time of one plan; the rest follows with the next ticks. */
+	private static final int MAX_UNOWNED = 1_024;
+
 	private static final long REBALANCE_NANOS = 1_000_000_000L;
 
 	/** The churn budget per second as a part of the service's shards. */
-	private static final int CHURN_DIVISOR = 64;
+	private static final int CHURN_DIVISOR = 32;
+
+	/**
+	 * A target with this many times its share is overloaded, as after a cold start of all
+	 * others, so the budget rises.
+	 */
+	private static final double OVERLOAD = 2;
+
+	private static final int OVERLOAD_FACTOR = 4;
 
 	private final PlacementPolicy policy;
 
@@ -51,6 +64,8 @@
 
 	private long nextRebalance;
 
+	private long settledVersion = -1;
+
 	ShardPlanner(PlacementPolicy policy, LoadBook loads, long startedAt) {
 		this.policy = policy;
 		this.loads = loads;
@@ -58,32 +73,53 @@
 		this.nextRebalance = startedAt + REBALANCE_NANOS;
 	}
 
-	void propose(RecordBody.Service service, Map<ShardId, String> wanted, ControlView view, Proposals proposals,
-			long now) {
+	void propose(RecordBody.Service service, Limits limits, ControlView view, Proposals proposals, long now) {
+		boolean rebalance = now >= this.nextRebalance;
+		if (!rebalance && view.version() == this.settledVersion) {
+			return;
+		}
 		Collection<ShardState> shards = view.shards(service.name());
 		Map<String, TargetState> targets = view.targets(service.name())
 			.stream()
 			.collect(Collectors.toMap((target) -> target.spec().name(), (target) -> target));
 		this.weights.observe(view, targets.values(), now);
 		evacuate(shards, targets, view, proposals);
-		boolean rebalance = now >= this.nextRebalance;
-		boolean unowned = shards.stream().anyMatch((shard) -> shard.phase() == ShardPhase.UNOWNED);
-		if (!rebalance && !unowned) {
-			return;
-		}
-		int budget = rebalance ? Math.max(1, shards.size() / CHURN_DIVISOR) : 0;
+		long created = view.record(RecordKind.SERVICE, service.name()).map(RecordState::viewVersion).orElse(0L);
+		List<ShardState> unowned = shards.stream()
+			.filter((shard) -> shard.phase() == ShardPhase.UNOWNED && assignable(shard, created, limits.settled()))
+			.toList();
+		boolean settled = shards.stream().allMatch((shard) -> settled(shard, targets, view));
+		this.settledVersion = settled ? view.version() : -1;
 		if (rebalance) {
 			this.nextRebalance = now + REBALANCE_NANOS;
 			forget(shards);
 		}
-		List<TargetCapacity> capacities = targets.values()
-			.stream()
+		if (rebalance || !unowned.isEmpty()) {
+			List<PlacedShard> placed = placed(shards, limits.wanted(), now);
+			List<TargetCapacity> capacities = capacities(service, targets.values(), view, now);
+			List<Move> moves = this.policy.plan(placed, capacities, rebalance ? budget(placed, capacities) : 0);
+			assign(unowned, moves, targets, view, proposals);
+			release(moves, view, proposals);
+		}
+	}
+
+	private List<TargetCapacity> capacities(RecordBody.Service service, Collection<TargetState> targets,
+			ControlView view, long now) {
+		return targets.stream()
 			.filter((target) -> !target.gate().isEmpty() || !view.shardsOf(target.spec().name()).isEmpty())
 			.map((target) -> this.weights.capacity(target, service, view, now))
 			.toList();
-		List<Move> moves = this.policy.plan(placed(shards, wanted, now), capacities, budget);
-		assign(shards, moves, targets, view, proposals);
-		release(moves, view, proposals);
+	}
+
+	private static int budget(List<PlacedShard> placed, List<TargetCapacity> capacities) {
+		Map<String, Double> loads = placed.stream()
+			.collect(Collectors.groupingBy(PlacedShard::owner, Collectors.summingDouble(PlacedShard::load)));
+		double total = placed.stream().mapToDouble(PlacedShard::load).sum();
+		List<TargetCapacity> takers = capacities.stream().filter(TargetCapacity::takesShards).toList();
+		double mean = total / takers.stream().mapToDouble(TargetCapacity::weight).sum();
+		boolean overload = takers.stream()
+			.anyMatch((target) -> loads.getOrDefault(target.name(), 0.0) > OVERLOAD * mean * target.weight());
+		return Math.max(1, placed.size() / CHURN_DIVISOR) * (overload ? OVERLOAD_FACTOR : 1);
 	}
 
 	private void evacuate(Collection<ShardState> shards, Map<String, TargetState> targets, ControlView view,
@@ -109,10 +145,12 @@
 
 	private List<PlacedShard> placed(Collection<ShardState> shards, Map<ShardId, String> wanted, long now) {
 		List<PlacedShard> placed = new ArrayList<>();
+		int unowned = 0;
 		for (ShardState shard : shards) {
 			String owner = (shard.phase() == ShardPhase.OWNED) ? shard.owner()
 					: this.planned.getOrDefault(shard.id(), "");
-			if (shard.phase() != ShardPhase.RELEASING || !owner.isEmpty()) {
+			unowned += owner.isEmpty() ? 1 : 0;
+			if (!owner.isEmpty() || (shard.phase() == ShardPhase.UNOWNED && unowned <= MAX_UNOWNED)) {
 				double load = BASE_LOAD + this.loads.load(shard.id(), now);
 				placed.add(new PlacedShard(shard.id(), owner, load, wanted.getOrDefault(shard.id(), "")));
 			}
@@ -120,14 +158,23 @@
 		return placed;
 	}
 
-	private void assign(Collection<ShardState> shards, List<Move> moves, Map<String, TargetState> targets,
+	private static boolean settled(ShardState shard, Map<String, TargetState> targets, ControlView view) {
+		return shard.phase() == ShardPhase.RELEASING
+				|| (shard.phase() == ShardPhase.OWNED && TargetWeights.takesShards(targets.get(shard.owner()), view));
+	}
+
+	// Shards of a new service wait, unless no fence was ever given.
+	private static boolean assignable(ShardState shard, long created, long settled) {
+		return shard.fence() == 0 || shard.viewVersion() > created || shard.viewVersion() <= settled;
+	}
+
+	private void assign(Collection<ShardState> unowned, List<Move> moves, Map<String, TargetState> targets,
 			ControlView view, Proposals proposals) {
 		moves.stream()
 			.filter((move) -> move.reason() == Reason.UNOWNED || move.reason() == Reason.EVACUATE
 					|| move.reason() == Reason.PIN)
 			.forEach((move) -> this.planned.put(move.shard(), move.destination()));
-		List<ShardAssignment> assignments = shards.stream()
-			.filter((shard) -> shard.phase() == ShardPhase.UNOWNED)
+		List<ShardAssignment> assignments = unowned.stream()
 			.flatMap((shard) -> assignment(shard, targets, view).stream())
 			.toList();
 		proposals.addBatch(assignments, (item) -> List.of("assign", item.shard(), item.expectedFence()),
@@ -155,4 +202,13 @@
 		proposals.addBatch(released, (shard) -> shard, Command.ReleaseShards::new);
 	}
 
+	/**
+	 * What restricts the plan.
+	 *
+	 * @param wanted the targets that shards of single keys belong on
+	 * @param settled the view version up to which no former grant is running
+	 */
+	record Limits(Map<ShardId, String> wanted, long settled) {
+	}
+
 }
