--- /dev/null
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/slopes/ControlSlopes.java
@@ -0,0 +1,249 @@
+package org.redwingramp.bench.slopes;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+
+import org.redwingramp.core.control.ControlImage;
+import org.redwingramp.core.control.ControlTiming;
+import org.redwingramp.core.control.Controller;
+import org.redwingramp.core.control.Controllers;
+import org.redwingramp.core.control.EntryHeartbeat;
+import org.redwingramp.core.control.EntryHeartbeatReply;
+import org.redwingramp.core.model.RecordKind;
+import org.redwingramp.core.model.ShardId;
+import org.redwingramp.core.placement.PlacementPolicies;
+import org.redwingramp.wire.CodecException;
+import org.redwingramp.wire.RecordCodec;
+
+/**
+ * What a control replica needs: state, commands, snapshots, heartbeats. Not thread safe.
+ */
+public final class ControlSlopes {
+
+	private static final int SNAPSHOT_LIMIT = 1 << 30;
+
+	private static final RecordCodec<ControlImage> IMAGES = RecordCodec.of(ControlImage.class, SNAPSHOT_LIMIT);
+
+	private static final RecordCodec<EntryHeartbeat> HEARTBEATS = RecordCodec.of(EntryHeartbeat.class);
+
+	private static final RecordCodec<EntryHeartbeatReply> REPLIES = RecordCodec.of(EntryHeartbeatReply.class);
+
+	private static final int LEDGER_ROUND = 2000;
+
+	private long clock = System.nanoTime();
+
+	private long number;
+
+	/**
+	 * Measures all slopes of the control role.
+	 * @return the slopes
+	 * @throws CodecException if a message is over its limit
+	 */
+	public List<Slope> all() throws CodecException {
+		List<Slope> slopes = new ArrayList<>();
+		slopes.addAll(shards());
+		slopes.addAll(targets());
+		slopes.addAll(ledger());
+		slopes.addAll(heartbeats());
+		slopes.addAll(changes());
+		return slopes;
+	}
+
+	private List<Slope> shards() throws CodecException {
+		int[] services = { 8, 32, 128 };
+		int[] sizes = Arrays.stream(services).map((count) -> count * StandInCluster.SLICES).toArray();
+		double[] memory = new double[sizes.length];
+		double[] apply = new double[sizes.length];
+		double[] snapshot = new double[sizes.length];
+		double[] snapshotTime = new double[sizes.length];
+		double[] tick = new double[sizes.length];
+		StandInCluster.placed(8, 10);
+		for (int i = 0; i < sizes.length; i++) {
+			int count = services[i];
+			memory[i] = Meter.bytes(() -> StandInCluster.placed(count, 10)) / 1024.0;
+			StandInCluster cluster = StandInCluster.placed(count, 10);
+			long[] version = { 1 };
+			apply[i] = Meter.micros(20, () -> cluster.submitService(0, ++version[0]));
+			snapshot[i] = IMAGES.encode(cluster.state.image()).length / 1024.0;
+			snapshotTime[i] = Meter.micros(2, () -> encode(cluster)) / 1000;
+			tick[i] = tickMicros(cluster, 10);
+		}
+		return List.of(Slope.of("control.memory (with 20 targets per 256 shards)", "shard", "KiB", sizes, memory),
+				Slope.of("control.apply of one record change", "shard", "us", sizes, apply),
+				Slope.of("control.snapshot bytes", "shard", "KiB", sizes, snapshot),
+				Slope.of("control.snapshot time", "shard", "ms", sizes, snapshotTime),
+				Slope.of("control.tick time of the controller", "shard", "us", sizes, tick));
+	}
+
+	private static void encode(StandInCluster cluster) {
+		try {
+			IMAGES.encode(cluster.state.image());
+		}
+		catch (CodecException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private double tickMicros(StandInCluster cluster, int entries) {
+		Controller controller = controller(cluster, entries);
+		return Meter.micros(5, () -> tick(controller));
+	}
+
+	private void tick(Controller controller) {
+		this.clock += 10_000_000L;
+		controller.tick(this.clock);
+	}
+
+	private Controller controller(StandInCluster cluster, int entries) {
+		Controller controller = Controllers.create(cluster.state, PlacementPolicies.balanced(), ControlTiming.DEFAULT,
+				this.clock, 1);
+		IntStream.range(0, entries)
+			.forEach((i) -> controller.heartbeat(heartbeat(cluster, i, cluster.state.view().version(), Map.of()),
+					this.clock));
+		return controller;
+	}
+
+	private List<Slope> targets() {
+		int[] sizes = { 250, 500, 1000 };
+		double[] memory = new double[sizes.length];
+		double[] announce = new double[sizes.length];
+		for (int i = 0; i < sizes.length; i++) {
+			int count = sizes[i];
+			memory[i] = Meter.bytes(() -> withTargets(count)) / 1024.0;
+			StandInCluster cluster = withTargets(count);
+			announce[i] = Meter.micros(10, () -> cluster.addTarget(0));
+		}
+		return List.of(Slope.of("control.memory", "target", "KiB", sizes, memory),
+				Slope.of("control.apply of one announcement", "target", "us", sizes, announce));
+	}
+
+	private static StandInCluster withTargets(int count) {
+		StandInCluster cluster = new StandInCluster();
+		cluster.addServices(1);
+		IntStream.range(0, count).forEach((i) -> cluster.addTarget(0));
+		return cluster;
+	}
+
+	private List<Slope> ledger() throws CodecException {
+		int[] sizes = { 20_000, 80_000, 240_000 };
+		double[] memory = new double[sizes.length];
+		double[] apply = new double[sizes.length];
+		double[] snapshot = new double[sizes.length];
+		double[] snapshotTime = new double[sizes.length];
+		withLedger(20_000);
+		for (int i = 0; i < sizes.length; i++) {
+			int count = sizes[i];
+			memory[i] = Meter.bytes(() -> withLedger(count)) / 1024.0;
+			StandInCluster cluster = withLedger(count);
+			snapshot[i] = IMAGES.encode(cluster.state.image()).length / 1024.0;
+			snapshotTime[i] = Meter.micros(1, () -> encode(cluster)) / 1000;
+			this.number = count;
+			apply[i] = Meter.micros(LEDGER_ROUND, () -> cluster.beginAndFinish(this.number++));
+		}
+		return List.of(Slope.of("ledger.memory (answer of 200 bytes)", "record", "KiB", sizes, memory),
+				Slope.of("ledger.apply of begin and finish", "record", "us", sizes, apply),
+				Slope.of("ledger.snapshot bytes", "record", "KiB", sizes, snapshot),
+				Slope.of("ledger.snapshot time", "record", "ms", sizes, snapshotTime));
+	}
+
+	private static StandInCluster withLedger(int records) {
+		StandInCluster cluster = StandInCluster.placed(1, 10);
+		IntStream.range(0, records).forEach(cluster::beginAndFinish);
+		return cluster;
+	}
+
+	private List<Slope> heartbeats() throws CodecException {
+		int[] sizes = { 100, 400, 1600 };
+		double[] handle = new double[sizes.length];
+		double[] codec = new double[sizes.length];
+		double[] tick = new double[sizes.length];
+		double[] memory = new double[sizes.length];
+		for (int i = 0; i < sizes.length; i++) {
+			int entries = sizes[i];
+			StandInCluster cluster = StandInCluster.placed(2, entries);
+			memory[i] = Meter.bytes(() -> controller(cluster, entries)) / 1024.0;
+			Controller controller = controller(cluster, entries);
+			long version = cluster.state.view().version();
+			int[] next = { 0 };
+			handle[i] = Meter.micros(4 * entries,
+					() -> controller.heartbeat(heartbeat(cluster, next[0]++ % entries, version, Map.of()), this.clock));
+			byte[] encoded = HEARTBEATS.encode(heartbeat(cluster, 0, version, Map.of()));
+			EntryHeartbeatReply reply = controller.heartbeat(heartbeat(cluster, 0, version, Map.of()), this.clock);
+			codec[i] = Meter.micros(4000, () -> decodeAndEncode(encoded, reply));
+			tick[i] = tickMicros(cluster, entries);
+		}
+		return List.of(Slope.of("heartbeat.handling without view change", "entry", "us", sizes, handle),
+				Slope.of("heartbeat.decoding and encoding of the reply", "entry", "us", sizes, codec),
+				Slope.of("control.tick time of the controller", "entry", "us", sizes, tick),
+				Slope.of("control.memory of sessions", "entry", "KiB", sizes, memory), loadBytes());
+	}
+
+	private static void decodeAndEncode(byte[] heartbeat, EntryHeartbeatReply reply) {
+		try {
+			HEARTBEATS.decode(heartbeat);
+			REPLIES.encode(reply);
+		}
+		catch (CodecException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private Slope loadBytes() throws CodecException {
+		int[] sizes = { 0, 64, 256 };
+		StandInCluster cluster = StandInCluster.placed(1, 1);
+		double[] bytes = new double[sizes.length];
+		for (int i = 0; i < sizes.length; i++) {
+			Map<String, Double> loads = new HashMap<>();
+			IntStream.range(0, sizes[i])
+				.forEach((slice) -> loads.put(ShardId.slice(StandInCluster.service(0), slice).toString(), 1.5 + slice));
+			bytes[i] = HEARTBEATS.encode(heartbeat(cluster, 0, 1, loads)).length;
+		}
+		return Slope.of("heartbeat.bytes of the request", "reported shard", "B", sizes, bytes);
+	}
+
+	private List<Slope> changes() throws CodecException {
+		int[] sizes = { 1, 8, 32 };
+		StandInCluster cluster = StandInCluster.placed(32, 10);
+		double[] bytes = new double[sizes.length];
+		double[] handle = new double[sizes.length];
+		for (int i = 0; i < sizes.length; i++) {
+			long before = cluster.state.view().version();
+			IntStream.range(0, sizes[i])
+				.forEach((service) -> cluster.submitService(service, nextVersion(cluster, service)));
+			Controller controller = controller(cluster, 10);
+			EntryHeartbeat behind = heartbeat(cluster, 0, before, Map.of());
+			bytes[i] = REPLIES.encode(controller.heartbeat(behind, this.clock)).length;
+			handle[i] = Meter.micros(400, () -> reply(controller, behind));
+		}
+		return List.of(Slope.of("view.bytes of the reply", "changed record", "B", sizes, bytes),
+				Slope.of("view.time to answer and encode", "changed record", "us", sizes, handle));
+	}
+
+	private static long nextVersion(StandInCluster cluster, int service) {
+		return cluster.state.view()
+			.record(RecordKind.SERVICE, StandInCluster.service(service))
+			.orElseThrow()
+			.record()
+			.version() + 1;
+	}
+
+	private void reply(Controller controller, EntryHeartbeat heartbeat) {
+		try {
+			REPLIES.encode(controller.heartbeat(heartbeat, this.clock));
+		}
+		catch (CodecException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static EntryHeartbeat heartbeat(StandInCluster cluster, int entry, long version,
+			Map<String, Double> loads) {
+		return new EntryHeartbeat(cluster.entry(entry), 1, "slopes", version, false, List.of(), List.of(), List.of(),
+				loads, List.of(), Map.of());
+	}
+
+}
