--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/load/JournalCheck.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/load/JournalCheck.java
@@ -10,8 +10,8 @@
 
 /**
  * Compares the outcomes that callers got with the journals of the targets: no
- * at-most-once request ran twice, every "not run" is true, and everything answered ran.
- * Stateless and thread safe.
+ * at-most-once request ran twice, every "not run" is true, and every booking that was
+ * answered ran. Stateless and thread safe.
  */
 public final class JournalCheck {
 
@@ -24,9 +24,16 @@
 	 * @throws IOException if a file can't be read
 	 */
 	public static void main(String[] args) throws IOException {
+		Finding finding = check(Path.of(args[0]), Path.of(args[1]));
+		System.out.println(finding.json());
+		finding.contradictions().forEach(System.err::println);
+		System.exit(finding.sound() ? 0 : 1);
+	}
+
+	static Finding check(Path outcomes, Path journals) throws IOException {
 		Map<String, Integer> runs = new HashMap<>();
 		Map<String, Integer> once = new HashMap<>();
-		for (Path journal : journals(Path.of(args[1]))) {
+		for (Path journal : journals(journals)) {
 			for (String line : Files.readAllLines(journal)) {
 				String[] parts = line.split(" ");
 				runs.merge(parts[0], 1, Integer::sum);
@@ -35,15 +42,16 @@
 				}
 			}
 		}
-		Counts counts = new Counts(runs);
-		Files.readAllLines(Path.of(args[0])).forEach(counts::add);
-		List<String> twice = once.keySet().stream().filter((identity) -> once.get(identity) > 1).toList();
-		System.out.printf(
-				"{\"atMostOnceRan\":%d,\"ranTwice\":%d,\"notRunClaims\":%d,\"falseNotRun\":%d,"
-						+ "\"answeredBookings\":%d,\"answeredButNotRun\":%d}%n",
-				once.size(), twice.size(), counts.claims, counts.falseClaims, counts.answered, counts.answeredNotRun);
-		boolean sound = twice.isEmpty() && counts.falseClaims == 0 && counts.answeredNotRun == 0;
-		System.exit(sound ? 0 : 1);
+		List<String[]> ended = Files.readAllLines(outcomes).stream().map((line) -> line.split(" ")).toList();
+		List<String> claimed = identities(ended, "not");
+		List<String> answered = identities(ended, "answered");
+		return new Finding(once.size(), once.keySet().stream().filter((identity) -> once.get(identity) > 1).toList(),
+				claimed.size(), claimed.stream().filter(runs::containsKey).toList(), answered.size(),
+				answered.stream().filter((identity) -> !runs.containsKey(identity)).toList());
+	}
+
+	private static List<String> identities(List<String[]> ended, String outcome) {
+		return ended.stream().filter((parts) -> parts[1].startsWith(outcome)).map((parts) -> parts[0]).toList();
 	}
 
 	private static List<Path> journals(Path folder) throws IOException {
@@ -52,36 +60,38 @@
 		}
 	}
 
-	private static final class Counts {
-
-		private final Map<String, Integer> runs;
-
-		private int claims;
-
-		private int falseClaims;
-
-		private int answered;
+	/**
+	 * What the comparison found. Immutable and thread safe.
+	 *
+	 * @param atMostOnceRan the number of at-most-once requests that ran
+	 * @param ranTwice those that ran more than once
+	 * @param notRunClaims the number of requests that were reported as not run
+	 * @param falseNotRun those of them that ran
+	 * @param answeredBookings the number of answered bookings
+	 * @param answeredButNotRun those of them that never ran
+	 */
+	record Finding(int atMostOnceRan, List<String> ranTwice, int notRunClaims, List<String> falseNotRun,
+			int answeredBookings, List<String> answeredButNotRun) {
 
-		private int answeredNotRun;
+		boolean sound() {
+			return contradictions().isEmpty();
+		}
 
-		Counts(Map<String, Integer> runs) {
-			this.runs = runs;
+		List<String> contradictions() {
+			return Stream
+				.of(this.ranTwice.stream().map("ran twice: "::concat),
+						this.falseNotRun.stream().map("reported as not run, but ran: "::concat),
+						this.answeredButNotRun.stream().map("answered, but never ran: "::concat))
+				.flatMap((lines) -> lines)
+				.toList();
 		}
 
-		void add(String line) {
-			String[] parts = line.split(" ");
-			boolean ran = this.runs.containsKey(parts[0]);
-			if (parts[1].startsWith("not")) {
-				this.claims++;
-				this.falseClaims += ran ? 1 : 0;
-				if (ran) {
-					System.err.println("said to be not run, but ran: " + parts[0]);
-				}
-			}
-			else if (parts[1].equals("answered")) {
-				this.answered++;
-				this.answeredNotRun += ran ? 0 : 1;
-			}
+		String json() {
+			return String.format(
+					"{\"atMostOnceRan\":%d,\"ranTwice\":%d,\"notRunClaims\":%d,\"falseNotRun\":%d,"
+							+ "\"answeredBookings\":%d,\"answeredButNotRun\":%d}",
+					this.atMostOnceRan, this.ranTwice.size(), this.notRunClaims, this.falseNotRun.size(),
+					this.answeredBookings, this.answeredButNotRun.size());
 		}
 
 	}
