Check the key's shard again right before a request is sent

Cause: read in review, and found independently by the author of the control state: a request routed by its slice could be sent after its key was split out and moved, because the slice is still owned. A booking that waits for the ledger made the window long. Ruled out: counting pending records as in flight, which would hold up moves for the deadline. Change: the permission to send looks the key's shard up in the current view; nothing is recorded for a booking whose target's queue is full already.

--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/entry/EntrySession.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/entry/EntrySession.java
@@ -76,16 +76,27 @@
 	}
 
 	@Override
-	public boolean mayDispatch(String target, ShardId shard, long fence) {
+	public boolean mayDispatch(String target, String key, ShardId shard, long fence) {
 		this.lock.lock();
 		try {
-			return !this.broken && this.agent.mayDispatch(target, shard, fence, this.clock.getAsLong());
+			return !this.broken && belongs(key, shard)
+					&& this.agent.mayDispatch(target, shard, fence, this.clock.getAsLong());
 		}
 		finally {
 			this.lock.unlock();
 		}
 	}
 
+	private boolean belongs(String key, ShardId shard) {
+		if (shard.service().isEmpty()) {
+			return true;
+		}
+		return this.view.service(shard.service())
+			.flatMap((service) -> this.view.shard(service, key))
+			.filter((current) -> current.id().equals(shard))
+			.isPresent();
+	}
+
 	/**
 	 * Waits until the view is newer than a version.
 	 * @param version the version
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateRuntime.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateRuntime.java
@@ -35,6 +35,8 @@
 
 	private final TargetGate admission;
 
+	private final int queueLimit;
+
 	private final LongSupplier clock;
 
 	private final Map<Long, CompletableFuture<GateEffect>> waiting = new HashMap<>();
@@ -51,6 +53,7 @@
 		this.target = target;
 		this.epoch = epoch;
 		this.clock = clock;
+		this.queueLimit = settings.queueLimit();
 		this.admission = TargetGates.create(settings, clock.getAsLong());
 	}
 
@@ -118,6 +121,12 @@
 		}
 	}
 
+	// Returns whether a request that can't start at once would be refused.
+	synchronized boolean full() {
+		GateStatus status = status();
+		return status.inFlight() >= status.limit() && status.waiting() >= this.queueLimit;
+	}
+
 	synchronized GateStatus status() {
 		return this.admission.status(this.clock.getAsLong());
 	}
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateService.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateService.java
@@ -70,18 +70,28 @@
 
 	// A request that runs at most once waits for a slot only after it was recorded: a
 	// slot
-	// held while control has no leader would keep lookups from the target.
+	// held while control has no leader would keep lookups from the target. If the queue
+	// is
+	// full already, nothing is recorded, so that overload doesn't reach the control
+	// group.
 	GateReply serve(GateRequest request, GateRuntime gate, TargetState target, CompletableFuture<Void> cancelled) {
 		long deadline = this.clock.getAsLong() + TimeUnit.MILLISECONDS.toNanos(request.remainingMillis());
-		if (!this.permission.mayDispatch(request.target(), request.shard(), request.fence())) {
+		if (!permitted(request)) {
 			return GateReply.refused(Problem.WRONG_GATE, NOT_PERMITTED);
 		}
 		if (request.requestClass().recorded()) {
+			if (gate.full()) {
+				return GateReply.refused(Problem.QUEUE_FULL, "the queue of " + request.target() + " is full");
+			}
 			return this.atMostOnce.run(request, deadline, () -> admit(request, gate, target, deadline, cancelled));
 		}
 		return reply(admit(request, gate, target, deadline, cancelled));
 	}
 
+	private boolean permitted(GateRequest request) {
+		return this.permission.mayDispatch(request.target(), request.key(), request.shard(), request.fence());
+	}
+
 	private TargetAnswer admit(GateRequest request, GateRuntime gate, TargetState target, long deadline,
 			CompletableFuture<Void> cancelled) {
 		Ticket ticket = gate.offer(request.requestClass(), request.shard(), request.key(), deadline);
@@ -91,8 +101,7 @@
 		}
 		SlotUse slot = new SlotUse(gate, ticket);
 		try {
-			return this.permission.mayDispatch(request.target(), request.shard(), request.fence())
-					? exchange(request, target, deadline, slot, cancelled)
+			return permitted(request) ? exchange(request, target, deadline, slot, cancelled)
 					: new TargetAnswer.NotSent(NOT_PERMITTED, false);
 		}
 		finally {
@@ -150,7 +159,7 @@
 		ShardId shard = request.shard().service().isEmpty() ? null : request.shard();
 		TargetCall call = new TargetCall(request.target(), target.spec().address(), request.method(), request.path(),
 				request.headers(), request.body(), request.identity(), shard, request.fence(), request.gateEpoch(),
-				deadline, () -> this.permission.mayDispatch(request.target(), request.shard(), request.fence()));
+				deadline, () -> permitted(request));
 		CompletableFuture<TargetAnswer> future = this.targets.send(call);
 		cancelled.thenRun(() -> future.cancel(true));
 		TargetAnswer answer = await(future);
--- a/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/gate/GateServiceTests.java
+++ b/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/gate/GateServiceTests.java
@@ -29,7 +29,7 @@
 
 	private final GateService service = new GateService(this.registry, this.targets,
 			new AtMostOnce(this.ledger, ControlFixture.GATE, System::nanoTime),
-			(target, shard, fence) -> this.permitted, new ShardLoads(), System::nanoTime);
+			(target, key, shard, fence) -> this.permitted, new ShardLoads(), System::nanoTime);
 
 	@BeforeEach
 	void openGate() {
--- a/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/gate/GateServiceWaitingTests.java
+++ b/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/gate/GateServiceWaitingTests.java
@@ -47,7 +47,7 @@
 
 	private final GateService service = new GateService(new GateRegistry("entry-1", System::nanoTime),
 			(call) -> this.toTarget, new AtMostOnce(this.ledger, "entry-1", System::nanoTime),
-			(target, shard, fence) -> true, new ShardLoads(), System::nanoTime);
+			(target, key, shard, fence) -> true, new ShardLoads(), System::nanoTime);
 
 	@Test
 	void shouldAnswerLookupsWhileABookingWaitsForTheLedger() throws Exception {
