Give up lookups at a target that is lost

Change: when the view says that the target is lost, its gate cancels what may be sent again, and the router sends it to the new owner within the retry budget. Bookings wait on. Tests: GateServiceTests.shouldGiveUpALookupWhenItsTargetIsLostButNotABooking fails without the cancellation and passes with it.

--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateRegistry.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateRegistry.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 
 import org.redwingramp.core.control.ControlView;
+import org.redwingramp.core.control.TargetPhase;
 import org.redwingramp.core.control.TargetState;
 import org.redwingramp.core.model.RecordBody;
 import org.redwingramp.core.routing.GateSettings;
@@ -74,7 +75,7 @@
 			.stream()
 			.filter((gate) -> targets.stream().noneMatch((state) -> matches(gate, state)))
 			.toList()
-			.forEach(this::close);
+			.forEach((gate) -> close(gate, view));
 		targets.stream()
 			.filter((state) -> state.phase().needsGate())
 			.filter((state) -> !this.gates.containsKey(state.spec().name()))
@@ -97,9 +98,12 @@
 		EventLog.log(Event.GATE_OPENED, state.spec().name(), state.gateEpoch(), slots);
 	}
 
-	private void close(GateRuntime gate) {
+	private void close(GateRuntime gate, ControlView view) {
 		this.gates.remove(gate.target(), gate);
 		gate.retire();
+		if (view.target(gate.target()).filter((state) -> state.phase() != TargetPhase.LOST).isEmpty()) {
+			gate.abandon();
+		}
 		this.retired.put(gate.target(), gate);
 		this.retired.values().removeIf((old) -> old != gate && old.idle());
 		EventLog.log(Event.GATE_CLOSED, gate.target(), gate.epoch(), "the view names another gate or epoch");
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateRuntime.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateRuntime.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 
 import org.redwingramp.core.model.RequestClass;
@@ -41,6 +42,10 @@
 
 	private final Map<ShardId, Integer> busyShards = new HashMap<>();
 
+	private final Set<CompletableFuture<TargetAnswer>> repeatable = ConcurrentHashMap.newKeySet();
+
+	private volatile boolean abandoned;
+
 	private long nextId = 1;
 
 	private int lastLimit;
@@ -104,6 +109,26 @@
 		List.copyOf(this.waiting.keySet()).forEach((id) -> run(List.of(new GateEffect.Refuse(id, Refusal.DISPLACED))));
 	}
 
+	// Registers a request to the target that may be sent again elsewhere.
+	void started(CompletableFuture<TargetAnswer> request) {
+		this.repeatable.add(request);
+		if (this.abandoned) {
+			request.cancel(true);
+		}
+	}
+
+	void ended(CompletableFuture<TargetAnswer> request) {
+		this.repeatable.remove(request);
+	}
+
+	// Gives up what may be sent again elsewhere, since the target is lost: its answer
+	// would
+	// be waited for until the deadline.
+	void abandon() {
+		this.abandoned = true;
+		this.repeatable.forEach((request) -> request.cancel(true));
+	}
+
 	synchronized boolean retired() {
 		return this.retired;
 	}
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateService.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateService.java
@@ -153,7 +153,11 @@
 				deadline, () -> this.permission.mayDispatch(request.target(), request.shard(), request.fence()));
 		CompletableFuture<TargetAnswer> future = this.targets.send(call);
 		cancelled.thenRun(() -> future.cancel(true));
+		if (request.requestClass().retryable()) {
+			slot.gate.started(future);
+		}
 		TargetAnswer answer = await(future);
+		slot.gate.ended(future);
 		slot.release(result(answer));
 		return answer;
 	}
@@ -168,7 +172,7 @@
 			return new TargetAnswer.Lost("interrupted", 0, true);
 		}
 		catch (CancellationException ex) {
-			return new TargetAnswer.Lost("the caller went away", 0, true);
+			return new TargetAnswer.Lost("the caller went away or the target was lost", 0, true);
 		}
 		catch (ExecutionException ex) {
 			return new TargetAnswer.Lost(String.valueOf(ex.getCause()), 0, false);
--- a/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/gate/GateServiceTests.java
+++ b/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/gate/GateServiceTests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import org.redwingramp.core.control.Command;
 import org.redwingramp.core.control.CommandResult.Begun;
@@ -24,9 +25,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against bookings that wait for the ledger keeping lookups from their target, and
- * against a recorded booking that got no slot staying in the ledger.
+ * Guards against bookings that wait for the ledger keeping lookups from their target,,
+ * against a recorded booking that got no slot staying in the ledger, and against lookups
+ * waiting for a lost target until their deadline.
  */
+@Timeout(10)
 class GateServiceTests {
 
 	private static final ShardId SHARD = new ShardId("taller-svc", 1, "");
@@ -35,14 +38,16 @@
 			new TargetSpec("taller-01", "taller-svc", "127.0.0.1:1", "zona-capital", 1, 10, "boot", true),
 			TargetPhase.READY, "entry-1", 1, 1);
 
+	private CompletableFuture<TargetAnswer> toTarget = CompletableFuture
+		.completedFuture(new TargetAnswer.Whole(200, List.of(), new byte[0], 1));
+
 	private final FakeLedger ledger = new FakeLedger();
 
 	private final GateRuntime gate = new GateRuntime("taller-01", 1, GateSettings.of(1, 0), System::nanoTime);
 
 	private final GateService service = new GateService(new GateRegistry("entry-1", System::nanoTime),
-			(call) -> CompletableFuture.completedFuture(new TargetAnswer.Whole(200, List.of(), new byte[0], 1)),
-			new AtMostOnce(this.ledger, "entry-1", System::nanoTime), (target, shard, fence) -> true, new ShardLoads(),
-			System::nanoTime);
+			(call) -> this.toTarget, new AtMostOnce(this.ledger, "entry-1", System::nanoTime),
+			(target, shard, fence) -> true, new ShardLoads(), System::nanoTime);
 
 	@Test
 	void shouldAnswerLookupsWhileABookingWaitsForTheLedger() throws Exception {
@@ -61,6 +66,20 @@
 		assertThat(this.ledger.aborted).hasValue(1);
 	}
 
+	@Test
+	void shouldGiveUpALookupWhenItsTargetIsLostButNotABooking() throws Exception {
+		this.gate.open(true);
+		this.ledger.answer.countDown();
+		this.toTarget = new CompletableFuture<>();
+		this.gate.abandon();
+		assertThat(serve(RequestClass.IDEMPOTENT).problem()).contains(Problem.NO_ANSWER);
+		this.toTarget = new CompletableFuture<>();
+		CompletableFuture<GateReply> booking = CompletableFuture.supplyAsync(() -> serve(RequestClass.AT_MOST_ONCE));
+		assertThat(booking).failsWithin(100, TimeUnit.MILLISECONDS);
+		this.toTarget.complete(new TargetAnswer.Whole(200, List.of(), new byte[0], 1));
+		assertThat(booking.get(5, TimeUnit.SECONDS).problem()).isEmpty();
+	}
+
 	private GateReply serve(RequestClass requestClass) {
 		GateRequest request = new GateRequest("taller-svc", "GET", "/taller-svc/x/wok-1", List.of(), new byte[0],
 				requestClass, "id", 1, "taller-01", 1, "wok-1", SHARD, 1, 2_000);
