Let the load tool wait with more requests at once

Cause: while all entries restart, 176 requests were not sent for lack of threads. 5% of answers 2.5 s late occupy more than the 3 slots, which tests overload instead.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -161,7 +161,7 @@
 load() {
 	local name=$1
 	shift
-	java -Xmx192m -cp "$class_path" org.redwingramp.bench.load.LoadMain --outcomes "$run/$name.outcomes" "$@" \
+	java -Xmx192m -Xss256k -cp "$class_path" org.redwingramp.bench.load.LoadMain --outcomes "$run/$name.outcomes" "$@" \
 		>"$run/$name.json" 2>"$run/$name.err" &
 	pid[load-$name]=$!
 }
