--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/ControlLoop.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/ControlLoop.java
@@ -196,7 +196,7 @@
 		return Math.max(0, Math.min(TICK_NANOS, this.nextTick - this.clock.getAsLong()));
 	}
 
-	private void accept(ControlInput input) {
+	private void accept(ControlInput input) throws StorageException, InvariantViolatedException, CodecException {
 		if (input instanceof ControlInput.PeerInput peer) {
 			handle(new ReplicaEvent.Received(peer.sender(), peer.message()));
 		}
@@ -211,9 +211,10 @@
 		}
 	}
 
-	private void answer(ControlInput.CallInput input) {
+	private void answer(ControlInput.CallInput input)
+			throws StorageException, InvariantViolatedException, CodecException {
 		long now = this.clock.getAsLong();
-		if (!this.replica.mayRead(now)) {
+		if (!mayRead(now)) {
 			input.reply().complete(new ControlReply.NotLeader(leaderName()));
 		}
 		else if (input.call() instanceof ControlCall.Propose propose) {
@@ -255,8 +256,22 @@
 		}
 	}
 
-	private void runDuties(long now) {
+	// The replica delivers committed entries before they are applied here. A controller
+	// or a
+	// read that misses entries of a former leader could contradict them.
+	private boolean mayRead(long now) throws StorageException, InvariantViolatedException, CodecException {
 		if (!this.replica.mayRead(now)) {
+			return false;
+		}
+		if (this.machine.appliedIndex() < this.replica.commitIndex()) {
+			runEffects();
+		}
+		return this.replica.mayRead(this.clock.getAsLong())
+				&& this.machine.appliedIndex() >= this.replica.commitIndex();
+	}
+
+	private void runDuties(long now) throws StorageException, InvariantViolatedException, CodecException {
+		if (!mayRead(now)) {
 			return;
 		}
 		for (Command command : controller(now).tick(now)) {
