--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/FaultTests.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/FaultTests.java
@@ -233,6 +233,18 @@
 		assertThat(stateFiles(folder.resolve("damaged-1"))).isEqualTo(names);
 	}
 
+	// Guards against a folder of another program version that is taken for damaged and
+	// reset, which would cost the replica its state.
+	@Test
+	void shouldTellAnotherFormatVersionFromDamage() throws Exception {
+		Path folder = history("newer");
+		Identity newer = new Identity(Formats.VERSION + 1, reopen(folder).id());
+		Files.write(folder.resolve(StoreLayout.IDENTITY), newer.encode().encode().array());
+		assertThatExceptionOfType(StorageException.class).isThrownBy(() -> reopen(folder))
+			.withMessageContaining("format version 2")
+			.isNotInstanceOf(CorruptStorageException.class);
+	}
+
 	private Path history(String name) throws StorageException {
 		Path folder = this.root.resolve(name);
 		try (ReplicaStore store = open(folder)) {
