--- a/redwingramp-core/src/test/java/org/redwingramp/core/control/OwnershipRulesTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/control/OwnershipRulesTests.java
@@ -49,7 +49,7 @@
 		TargetSpec second = Fixtures.target("t1", Fixtures.KEYED, "zona-capital", "t1-boot-2");
 		this.driver.apply(new Command.AnnounceTarget(second));
 		assertThat(this.driver.target("t1").gateEpoch()).isEqualTo(epoch + 1);
-		assertThat(this.driver.state.view().shardsOf("t1"))
+		assertThat(this.driver.state.view().shardsOf("t1")).hasSize(4)
 			.allSatisfy((shard) -> assertThat(shard.phase()).isEqualTo(ShardPhase.RELEASING));
 		assertThat(this.driver.refusal(new Command.TargetLost("t1", "t1-boot-1", epoch))).isEqualTo(RefusalCode.STALE);
 		assertThat(this.driver.refusal(new Command.DrainTarget("t1", "t1-boot-1"))).isEqualTo(RefusalCode.STALE);
@@ -81,6 +81,18 @@
 		assertThat(this.driver.target("t1").phase()).isEqualTo(TargetPhase.READY);
 	}
 
+	@Test
+	void shouldKeepATargetDrainingThatIsLostWhileItDrains() throws InvariantViolatedException {
+		this.driver.apply(new Command.DrainTarget("t1", "t1-boot-1"));
+		this.driver.apply(new Command.TargetLost("t1", "t1-boot-1", this.driver.target("t1").gateEpoch()));
+		assertThat(this.driver.slice(0).phase()).isEqualTo(ShardPhase.UNOWNED);
+		this.driver.apply(new Command.AnnounceTarget(Fixtures.target("t1")));
+		assertThat(this.driver.target("t1").phase()).isEqualTo(TargetPhase.DRAINING);
+		TargetSpec elsewhere = new TargetSpec("t1", Fixtures.KEYED, "127.0.0.9:1", "zona-mixco", 3, 110, "x", true);
+		assertThat(this.driver.refusal(new Command.AnnounceTarget(elsewhere))).isNull();
+		assertThat(this.driver.target("t1").phase()).isEqualTo(TargetPhase.READY);
+	}
+
 	@Test
 	void shouldRefuseToRemoveATargetThatOwnsShards() throws InvariantViolatedException {
 		this.driver.apply(new Command.DrainTarget("t1", "t1-boot-1"));
