--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/Slopes.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/Slopes.java
@@ -1,8 +1,16 @@
 package org.redwingramp.bench;
 
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
 import org.redwingramp.bench.slopes.ControlSlopes;
 import org.redwingramp.bench.slopes.EntrySlopes;
+import org.redwingramp.bench.slopes.Slope;
+import org.redwingramp.bench.slopes.TransportSlopes;
 import org.redwingramp.wire.CodecException;
+import org.redwingramp.wire.NotSentException;
+import org.redwingramp.wire.OutcomeUnknownException;
 
 /**
  * Measures in one process how memory, time and bytes grow with the size, and prints one
@@ -20,14 +28,23 @@
 	 * Runs all measurements, under two minutes.
 	 * @param args none
 	 * @throws CodecException if a message is over its limit
+	 * @throws IOException if the loopback port can't be opened
+	 * @throws NotSentException if a call over loopback wasn't sent
+	 * @throws OutcomeUnknownException if a call over loopback wasn't answered
 	 */
-	public static void main(String[] args) throws CodecException {
+	public static void main(String[] args)
+			throws CodecException, IOException, NotSentException, OutcomeUnknownException {
 		for (int pass = 0; pass < WARM_UP_PASSES; pass++) {
-			new ControlSlopes().all();
-			new EntrySlopes().all();
+			measure();
 		}
-		new ControlSlopes().all().forEach((slope) -> System.out.println(slope.json()));
-		new EntrySlopes().all().forEach((slope) -> System.out.println(slope.json()));
+		measure().forEach((slope) -> System.out.println(slope.json()));
+	}
+
+	private static List<Slope> measure() throws CodecException, IOException, NotSentException, OutcomeUnknownException {
+		List<Slope> slopes = new ArrayList<>(new ControlSlopes().all());
+		slopes.addAll(new EntrySlopes().all());
+		slopes.addAll(new TransportSlopes().all());
+		return slopes;
 	}
 
 }
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/slopes/Meter.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/slopes/Meter.java
@@ -3,6 +3,7 @@
 import java.lang.ref.Reference;
 import java.util.Arrays;
 import java.util.function.Supplier;
+import java.util.stream.LongStream;
 
 /**
  * Measures memory and time in this process. Thread safe.
@@ -11,13 +12,26 @@
 
 	private static final int COLLECTIONS = 3;
 
+	private static final int TRIES = 3;
+
 	private static final int ROUNDS = 5;
 
 	private Meter() {
 	}
 
-	// Returns the bytes that the supplied object keeps alive.
+	// Returns the bytes that the supplied object keeps alive, the median of several
+	// tries:
+	// now and then the collector frees something older meanwhile.
 	static long bytes(Supplier<?> supplier) {
+		return LongStream.generate(() -> once(supplier))
+			.limit(TRIES)
+			.sorted()
+			.skip(TRIES / 2)
+			.findFirst()
+			.orElseThrow();
+	}
+
+	private static long once(Supplier<?> supplier) {
 		long before = used();
 		Object kept = supplier.get();
 		long after = used();
