--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/LoadMeasures.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/LoadMeasures.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.stream.IntStream;
 
 import org.redwingramp.bench.measure.Deployment.Service;
+import org.redwingramp.core.placement.PlacementPolicies;
 
 /**
  * Measures tail latency with slowed targets, overload and cold starts. Immutable and
@@ -28,6 +30,8 @@
 
 	private static final List<Double> LOADS = List.of(0.5, 1.0, 2.0, 4.0);
 
+	private static final List<Safeguards> SETUPS = List.of(Safeguards.ALL, Safeguards.NONE);
+
 	private final long seed;
 
 	private final long measured;
@@ -43,18 +47,40 @@
 	}
 
 	/**
-	 * Returns the cases of one deployment.
+	 * Returns the cases of tail latency.
 	 * @param deployment the deployment
 	 * @return the cases, independent of each other
 	 */
-	public List<Callable<List<Result>>> cases(Deployment deployment) {
+	public List<Callable<List<Result>>> tailCases(Deployment deployment) {
 		List<Callable<List<Result>>> cases = new ArrayList<>();
+		deployment.services()
+			.forEach((service) -> SETUPS.forEach((safeguards) -> SLOWED
+				.forEach((slowed) -> cases.add(() -> tail(deployment, service, safeguards, slowed)))));
+		return cases;
+	}
+
+	/**
+	 * Returns the cases of overload.
+	 * @param deployment the deployment
+	 * @return the cases, independent of each other
+	 */
+	public List<Callable<List<Result>>> overloadCases(Deployment deployment) {
+		List<Callable<List<Result>>> cases = new ArrayList<>();
+		deployment.services()
+			.forEach((service) -> SETUPS.forEach((safeguards) -> LOADS
+				.forEach((load) -> cases.add(() -> overload(deployment, service, safeguards, load)))));
+		return cases;
+	}
+
+	/**
+	 * Returns the cases of cold starts.
+	 * @param deployment the deployment
+	 * @return the cases, independent of each other
+	 */
+	public List<Callable<List<Result>>> coldStartCases(Deployment deployment) {
+		List<Callable<List<Result>>> cases = new ArrayList<>();
+		int domains = deployment.domains().size();
 		for (Service service : deployment.services()) {
-			for (Safeguards safeguards : List.of(Safeguards.ALL, Safeguards.NONE)) {
-				SLOWED.forEach((slowed) -> cases.add(() -> tail(deployment, service, safeguards, slowed)));
-				LOADS.forEach((load) -> cases.add(() -> overload(deployment, service, safeguards, load)));
-			}
-			int domains = deployment.domains().size();
 			addColdStarts(cases, deployment, service, new Cold("one target", 1, 1));
 			addColdStarts(cases, deployment, service,
 					new Cold("failure domain", (service.targets() + domains - 1) / domains, domains));
@@ -71,10 +97,15 @@
 
 	private List<Result> tail(Deployment deployment, Service service, Safeguards safeguards, int slowed) {
 		ServiceModel model = new ServiceModel(deployment, service, safeguards, this.seed, WARM_UP);
+		if (service.sharded() && safeguards.choice()) {
+			new ShardMover(model, deployment, PlacementPolicies.balanced(), ShardMover.CHURN_BUDGET,
+					new SplittableRandom(this.seed))
+				.start();
+		}
 		model.time().at(WARM_UP / 2, () -> slow(model, slowed));
 		RunResult run = model.run(TAIL_LOAD * deployment.capacity(service), WARM_UP + this.measured);
 		String name = service.name() + " slowed=" + slowed + " " + safeguards.name();
-		Figures figures = new Figures(deployment, "tail-latency", name, run);
+		Figures figures = new Figures(deployment, "tail-latency", name, run, this.seed);
 		return List.of(figures.of("p50", run.millis(50), "ms"), figures.of("p99", run.millis(99), "ms"),
 				figures.of("p99.9", run.millis(99.9), "ms"), figures.of("answered", run.answeredShare(), "share"));
 	}
@@ -87,9 +118,9 @@
 	private List<Result> overload(Deployment deployment, Service service, Safeguards safeguards, double load) {
 		ServiceModel model = new ServiceModel(deployment, service, safeguards, this.seed, WARM_UP);
 		RunResult run = model.run(load * deployment.capacity(service), WARM_UP + this.measured);
-		double goodput = run.answered() * (double) VirtualTime.SECONDS / this.measured / deployment.capacity(service);
+		double goodput = run.goodput() / deployment.capacity(service);
 		String name = service.name() + " load=" + load + " " + safeguards.name();
-		Figures figures = new Figures(deployment, "overload", name, run);
+		Figures figures = new Figures(deployment, "overload", name, run, this.seed);
 		return List.of(figures.of("goodput", goodput, "of capacity"),
 				figures.of("added load", run.addedLoad(), "share"),
 				figures.of("most running", model.mostRunning(), "requests"));
@@ -101,7 +132,7 @@
 		model.time().at(WARM_UP, () -> cold.targets(model).forEach((target) -> model.chill(target, told)));
 		RunResult run = model.run(COLD_LOAD * deployment.capacity(service), WARM_UP + this.measured);
 		String name = service.name() + " " + cold.name() + ((told) ? " told " : " sudden ") + safeguards.name();
-		Figures figures = new Figures(deployment, "cold-start", name, run);
+		Figures figures = new Figures(deployment, "cold-start", name, run, this.seed);
 		return List.of(figures.of("answered", run.answeredShare(), "share"),
 				figures.of("recovery", run.recovery(WARM_UP, RECOVERED) / (double) VirtualTime.SECONDS, "s"),
 				figures.of("failed by targets", model.failures(), "requests"),
@@ -116,28 +147,4 @@
 
 	}
 
-	private final class Figures {
-
-		private final Deployment deployment;
-
-		private final String measure;
-
-		private final String name;
-
-		private final RunResult run;
-
-		Figures(Deployment deployment, String measure, String name, RunResult run) {
-			this.deployment = deployment;
-			this.measure = measure;
-			this.name = name;
-			this.run = run;
-		}
-
-		Result of(String figure, double value, String unit) {
-			return new Result(this.deployment.name(), this.measure, this.name + " " + figure, value, unit,
-					this.run.requests(), LoadMeasures.this.seed);
-		}
-
-	}
-
 }
--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ServiceModel.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ServiceModel.java
@@ -32,9 +32,6 @@
  */
 final class ServiceModel {
 
-	/** The number of slices of a sharded service. */
-	static final int SLICES = 256;
-
 	/** How old the figures of other entries' gates are that a choice rests on. */
 	static final long REPORT_PERIOD = 100 * VirtualTime.MILLIS;
 
@@ -74,11 +71,11 @@
 
 	private final RunResult result;
 
-	private final int[] owners;
+	private final ShardMap shards;
 
-	private final int[][] sentSinceReport;
+	private final boolean[] available;
 
-	private GateStatus[] reports;
+	private final EntryLoads loads;
 
 	private Set<String> ejected = Set.of();
 
@@ -95,8 +92,10 @@
 		this.hedges = (safeguards.hedges() && !service.sharded())
 				? HedgePolicies.quantile(HedgePolicies.DEFAULT_QUANTILE, this.budget) : HedgePolicies.none();
 		this.result = new RunResult(measuredFrom);
-		this.owners = IntStream.range(0, SLICES).map((slice) -> slice % service.targets()).toArray();
-		this.sentSinceReport = new int[deployment.entries()][service.targets()];
+		this.shards = new ShardMap(this.time, service.targets());
+		this.available = new boolean[service.targets()];
+		Arrays.fill(this.available, true);
+		this.loads = new EntryLoads(deployment.entries(), service.targets());
 		IntStream.range(0, service.targets()).forEach((target) -> addTarget(seeds.split()));
 		report();
 		this.time.every(REPORT_PERIOD, this::report);
@@ -122,6 +121,72 @@
 		}
 	}
 
+	ModelGate gate(int target) {
+		return this.gates.get(target);
+	}
+
+	ShardMap shards() {
+		return this.shards;
+	}
+
+	Map<String, Double> slow() {
+		return this.detector.slow(this.time.now());
+	}
+
+	void available(int target, boolean chosen) {
+		this.available[target] = chosen;
+	}
+
+	/**
+	 * Ends all sends to a target whose loss is known.
+	 * @param target the target's index
+	 */
+	void lost(int target) {
+		sendsTo(target).forEach((send) -> {
+			ModelRequest request = this.sends.get(send);
+			boolean started = this.gates.get(target).started(send);
+			this.gates.get(target).end(send, GateResult.LOST);
+			if (started) {
+				ended(send, GateResult.LOST);
+			}
+			else {
+				resend(send, request);
+			}
+		});
+	}
+
+	/**
+	 * Takes a slice's waiting requests out of its former owner's queue.
+	 * @param slice the slice
+	 * @param target the former owner
+	 */
+	void withdraw(int slice, int target) {
+		sendsTo(target).stream()
+			.filter((send) -> this.sends.get(send).key == slice && !this.gates.get(target).started(send))
+			.forEach((send) -> {
+				this.gates.get(target).end(send, GateResult.NOT_SENT);
+				resend(send, this.sends.get(send));
+			});
+	}
+
+	boolean inFlight(int slice, int target) {
+		return sendsTo(target).stream()
+			.anyMatch((send) -> this.sends.get(send).key == slice && this.gates.get(target).started(send));
+	}
+
+	boolean sharded() {
+		return this.service.sharded();
+	}
+
+	private List<Long> sendsTo(int target) {
+		return this.sends.entrySet()
+			.stream()
+			.filter((send) -> send.getValue().open.getOrDefault(send.getKey(), -1) == target)
+			.map(Map.Entry::getKey)
+			.sorted()
+			.toList();
+	}
+
 	int mostRunning() {
 		return this.targets.stream().mapToInt(ModelTarget::mostRunning).max().orElse(0);
 	}
@@ -141,6 +206,7 @@
 	 * @return what the callers saw
 	 */
 	RunResult run(double rate, long end) {
+		this.result.until(end);
 		arrive(rate, end);
 		this.time.run(end + 2 * DEADLINE);
 		return this.result;
@@ -164,11 +230,10 @@
 	}
 
 	private void report() {
-		this.reports = this.gates.stream().map(ModelGate::status).toArray(GateStatus[]::new);
+		IntStream.range(0, this.deployment.entries())
+			.forEach((entry) -> IntStream.range(0, this.gates.size())
+				.forEach((target) -> this.loads.report(entry, target, this.gates.get(target).status())));
 		this.ejected = (this.safeguards.choice()) ? this.detector.ejected(this.time.now()) : Set.of();
-		for (int[] sent : this.sentSinceReport) {
-			Arrays.fill(sent, 0);
-		}
 	}
 
 	private void arrive(double rate, long end) {
@@ -187,7 +252,7 @@
 				: (drawn < DEFERRABLE_SHARE + AT_MOST_ONCE_SHARE) ? RequestClass.AT_MOST_ONCE : RequestClass.IDEMPOTENT;
 		long now = this.time.now();
 		ModelRequest request = new ModelRequest(now, now + DEADLINE, requestClass,
-				this.random.nextInt(this.deployment.entries()), this.random.nextInt(SLICES));
+				this.random.nextInt(this.deployment.entries()), this.random.nextInt(ShardMap.SLICES));
 		this.result.arrived(now);
 		this.budget.requested();
 		this.time.after(this.deployment.callerNanos(), () -> {
@@ -203,10 +268,21 @@
 		}
 	}
 
+	private boolean waits(ModelRequest request) {
+		return this.service.sharded() && this.shards.blocked(request.key);
+	}
+
 	private void send(ModelRequest request) {
+		if (request.done) {
+			return;
+		}
+		if (waits(request)) {
+			this.shards.await(request.key, () -> send(request));
+			return;
+		}
 		Optional<Integer> chosen = choose(request);
 		if (chosen.isEmpty()) {
-			end(request, false, true);
+			end(request, false);
 			return;
 		}
 		int target = chosen.get();
@@ -214,32 +290,43 @@
 		request.tried.add(target);
 		request.open.put(id, target);
 		this.sends.put(id, request);
-		this.sentSinceReport[request.entry][target]++;
+		this.loads.sent(request.entry, target);
 		this.result.attempted(request.arrival);
 		long answerBy = request.deadline - this.deployment.callerNanos() - this.deployment.hopNanos();
 		this.time.after(this.deployment.hopNanos(), () -> {
-			if (this.sends.containsKey(id)) {
+			if (waits(request) || (this.service.sharded() && this.shards.owner(request.key) != target)) {
+				resend(id, request);
+			}
+			else if (this.sends.containsKey(id)) {
 				this.gates.get(target).offer(id, request.requestClass, answerBy);
 			}
 		});
 	}
 
+	private void resend(long id, ModelRequest request) {
+		if (this.sends.remove(id) != null) {
+			close(request, id);
+			send(request);
+		}
+	}
+
 	private Optional<Integer> choose(ModelRequest request) {
 		if (this.service.sharded()) {
-			return Optional.of(this.owners[request.key]);
+			return Optional.of(this.shards.owner(request.key));
 		}
 		List<Candidate> candidates = IntStream.range(0, this.service.targets())
-			.filter((target) -> !request.tried.contains(target))
-			.mapToObj((target) -> candidate(request.entry, target))
+			.filter((target) -> this.available[target] && !request.tried.contains(target))
+			.mapToObj((target) -> this.loads.candidate(request.entry, target,
+					this.ejected.contains(Integer.toString(target))))
 			.toList();
 		return this.chooser.choose(candidates).map(Integer::valueOf);
 	}
 
-	private Candidate candidate(int entry, int target) {
-		String name = Integer.toString(target);
-		GateStatus report = this.reports[target];
-		int busy = report.inFlight() + report.waiting() + this.sentSinceReport[entry][target];
-		return new Candidate(name, report.limit(), busy, report.serviceNanos(), this.ejected.contains(name));
+	private void close(ModelRequest request, long id) {
+		Integer target = request.open.remove(id);
+		if (target != null) {
+			this.loads.ended(request.entry, target);
+		}
 	}
 
 	private void ended(long id, GateResult gateResult) {
@@ -247,13 +334,16 @@
 		if (request == null) {
 			return;
 		}
+		int target = request.open.getOrDefault(id, 0);
+		GateStatus status = this.gates.get(target).status();
 		this.time.after(this.deployment.hopNanos(), () -> {
-			request.open.remove(id);
+			close(request, id);
+			this.loads.report(request.entry, target, status);
 			if (request.done) {
 				return;
 			}
 			if (gateResult == GateResult.ANSWERED) {
-				end(request, true, false);
+				end(request, true);
 			}
 			else if (request.open.isEmpty()) {
 				retry(request, gateResult);
@@ -269,20 +359,20 @@
 			send(request);
 		}
 		else {
-			end(request, false, gateResult == GateResult.NOT_SENT);
+			end(request, false);
 		}
 	}
 
-	private void end(ModelRequest request, boolean success, boolean refusal) {
+	private void end(ModelRequest request, boolean success) {
 		request.done = true;
 		stopOpenSends(request, GateResult.CANCELLED);
 		long nanos = this.time.now() + this.deployment.callerNanos() - request.arrival;
 		if (success && nanos <= DEADLINE) {
 			this.hedges.answered(nanos - this.deployment.callerNanos() * 2);
-			this.result.ended(request.arrival, nanos, true, false);
+			this.result.ended(request.arrival, nanos, true);
 		}
 		else {
-			this.result.ended(request.arrival, DEADLINE, false, refusal);
+			this.result.ended(request.arrival, DEADLINE, false);
 		}
 	}
 
@@ -290,16 +380,16 @@
 		if (!request.done) {
 			request.done = true;
 			stopOpenSends(request, GateResult.LOST);
-			this.result.ended(request.arrival, DEADLINE, false, false);
+			this.result.ended(request.arrival, DEADLINE, false);
 		}
 	}
 
 	private void stopOpenSends(ModelRequest request, GateResult why) {
 		List.copyOf(request.open.entrySet()).forEach((open) -> {
 			this.sends.remove(open.getKey());
+			close(request, open.getKey());
 			this.time.after(this.deployment.hopNanos(), () -> this.gates.get(open.getValue()).end(open.getKey(), why));
 		});
-		request.open.clear();
 	}
 
 }
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Formation.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Formation.java
@@ -64,7 +64,8 @@
 		}
 		List<ReplicaId> voters = this.context.listedNames().stream().map(this::identityOf).toList();
 		if (this.offer.filter((group) -> group.voters().equals(voters)).isEmpty()) {
-			this.offer = Optional.of(new Membership(randomClusterId(), voters, List.of()));
+			this.offer = Optional
+				.of(new Membership(ClusterIds.create(voters, this.context.random()), voters, List.of()));
 			this.accepted.clear();
 			offerToAll();
 		}
@@ -90,10 +91,10 @@
 		}
 	}
 
-	void handle(FormCommit message) {
+	void handle(ReplicaId sender, FormCommit message) {
 		Membership group = message.membership();
-		boolean agreed = this.promised.map(group.clusterId()::equals).orElseGet(() -> !contradictsSeen(group));
-		if (includesSelf(group) && agreed) {
+		boolean agreed = this.promised.map(group.clusterId()::equals).orElseGet(() -> !replaced(sender));
+		if (includesSelf(group) && group.voters().contains(sender) && ClusterIds.formed(group) && agreed) {
 			adopt(group);
 		}
 	}
@@ -102,9 +103,10 @@
 		return this.context.log().blank() && group.voters().contains(this.context.id());
 	}
 
-	// Refuses a group with an incarnation whose disk is known to be lost.
-	private boolean contradictsSeen(Membership group) {
-		return group.voters().stream().anyMatch((voter) -> !this.seen.getOrDefault(voter.name(), voter).equals(voter));
+	// A late message of an incarnation whose disk is lost since tells of a group that may
+	// never have started. Any other member that adopted a group stays in it.
+	private boolean replaced(ReplicaId sender) {
+		return !this.seen.getOrDefault(sender.name(), sender).equals(sender);
 	}
 
 	private void finishIfUnanimous() {
@@ -145,8 +147,4 @@
 		return group.voters().stream().filter((voter) -> !voter.equals(this.context.id()));
 	}
 
-	private String randomClusterId() {
-		return String.format("%016x%016x", this.context.random().nextLong(), this.context.random().nextLong());
-	}
-
 }
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/GrantSession.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/GrantSession.java
@@ -104,7 +104,7 @@
 		if (this.unanswered.size() > MAX_UNANSWERED) {
 			this.unanswered.removeFirst();
 		}
-		return new Grant(gate, this.epoch, until, shards);
+		return new Grant(gate, this.epoch, this.bootId, until, shards);
 	}
 
 	private boolean granted(ShardState shard, long now) {
@@ -155,7 +155,7 @@
 	}
 
 	boolean lost(long now) {
-		return this.lostReported || (now >= this.lossEnd && !this.unanswered.isEmpty()
+		return this.lostReported || (!this.handedOver && now >= this.lossEnd && !this.unanswered.isEmpty()
 				&& now - this.unanswered.getFirst().sent() >= this.timing.grantTimeoutNanos());
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/Ledger.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/Ledger.java
@@ -29,8 +29,8 @@
  */
 final class Ledger {
 
-	/** Bounds the memory at about 1 GB with answers of no content. */
-	static final int MAX_RECORDS = 2_000_000;
+	/** Bounds the memory at about 400 MB, at 403 bytes measured per record. */
+	static final int MAX_RECORDS = 1_000_000;
 
 	/** Bodies beyond this total are not kept, only their length. */
 	static final long MAX_KEPT_BYTES = 64L * 1024 * 1024;
@@ -67,7 +67,7 @@
 		}
 		LedgerRecord known = this.records.get(LedgerKey.of(command.request()));
 		if (known != null) {
-			return describe(known, command.digest(), clock, view);
+			return describe(known, command, clock, view);
 		}
 		Begun.Status status = admission(command, service.get(), clock, view);
 		if (status != Begun.Status.STARTED) {
@@ -76,19 +76,22 @@
 		if (this.records.size() >= this.maxRecords) {
 			return Refusals.limitReached("recorded requests", this.maxRecords);
 		}
-		put(new LedgerRecord(command.request(), command.digest(), index, command.gate(), command.gateEpoch(),
-				command.target(), clock + command.timeoutMillis(), false, Optional.empty()));
+		put(compact(new LedgerRecord(command.request(), command.digest(), index, command.gate(), command.gateEpoch(),
+				command.target(), clock + command.timeoutMillis(), false, Optional.empty(), command.token())));
 		return new Begun(Begun.Status.STARTED, index, Optional.empty());
 	}
 
-	private static Begun describe(LedgerRecord known, String digest, long clock, ImmutableView view) {
-		if (!known.digest().equals(digest)) {
+	private static Begun describe(LedgerRecord known, Command.BeginRequest command, long clock, ImmutableView view) {
+		if (!known.digest().equals(command.digest())) {
 			return new Begun(Begun.Status.DIGEST_MISMATCH, known.attempt(), Optional.empty());
 		}
 		if (known.answer().isPresent()) {
 			return new Begun(Begun.Status.DONE, known.attempt(), known.answer());
 		}
 		boolean running = !known.unknown() && clock < known.unknownAtMillis() && gateUnchanged(known, view);
+		if (running && !command.token().isEmpty() && command.token().equals(known.token())) {
+			return new Begun(Begun.Status.STARTED, known.attempt(), Optional.empty());
+		}
 		return new Begun(running ? Begun.Status.RUNNING : Begun.Status.UNKNOWN, known.attempt(), Optional.empty());
 	}
 
@@ -177,7 +180,7 @@
 
 	private static LedgerRecord with(LedgerRecord known, boolean unknown, Optional<StoredAnswer> answer) {
 		return new LedgerRecord(known.request(), known.digest(), known.attempt(), known.gate(), known.gateEpoch(),
-				known.target(), known.unknownAtMillis(), unknown, answer);
+				known.target(), known.unknownAtMillis(), unknown, answer, "");
 	}
 
 	CommandResult expire(long clock, ImmutableView view) {
@@ -197,6 +200,14 @@
 		return new CommandResult.Applied(view.version());
 	}
 
+	// Names repeat in a million records but arrive as a new string with each command.
+	private static LedgerRecord compact(LedgerRecord record) {
+		RequestIdentity request = new RequestIdentity(record.request().service().intern(), record.request().key(),
+				record.request().issuedMillis());
+		return new LedgerRecord(request, record.digest(), record.attempt(), record.gate().intern(), record.gateEpoch(),
+				record.target().intern(), record.unknownAtMillis(), record.unknown(), record.answer(), record.token());
+	}
+
 	private void put(LedgerRecord record) {
 		this.records.put(LedgerKey.of(record.request()), record);
 		this.byAge.computeIfAbsent(record.request().service(), (name) -> new TreeSet<>(BY_AGE)).add(record.request());
@@ -234,7 +245,7 @@
 		this.keptBytes = 0;
 		this.floors.clear();
 		this.floors.putAll(restoredFloors);
-		restored.forEach(this::put);
+		restored.forEach((record) -> put(compact(record)));
 	}
 
 	/**
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/RequestRouter.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/RequestRouter.java
@@ -28,6 +28,11 @@
 
 	private static final long REROUTE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
+	// A new gate's first grant takes some round trips; each attempt before it costs a
+	// call
+	// and a log line, so the pause doubles up to here. A newer view ends it at once.
+	private static final long LONGEST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
 	private final EntrySession session;
 
 	private final RequestClassifier classifier;
@@ -79,6 +84,7 @@
 		Set<String> tried = new HashSet<>();
 		GateReply last = GateReply.refused(Problem.NO_OWNER, "no target owns the key in the view");
 		int attempt = 0;
+		long pauseNanos = REROUTE_PAUSE_NANOS;
 		while (this.clock.getAsLong() < request.deadline() && !cancelled.isDone()) {
 			ControlView view = this.session.view();
 			Optional<Destination> destination = this.session.mayRoute() ? this.finder.find(request, view, tried)
@@ -88,12 +94,14 @@
 			}
 			if (destination.isPresent()) {
 				attempt++;
-				last = send(request, destination.get(), view, tried, cancelled);
-				if (!again(request, last, attempt, tried, destination.get())) {
+				GateReply reply = send(request, destination.get(), view, tried, cancelled);
+				last = reply.after(last);
+				if (!again(request, reply, attempt, tried, destination.get())) {
 					return last;
 				}
 			}
-			pause(view);
+			pause(view, pauseNanos);
+			pauseNanos = Math.min(LONGEST_PAUSE_NANOS, pauseNanos * 2);
 		}
 		return last;
 	}
@@ -104,20 +112,26 @@
 			return false;
 		}
 		Problem problem = reply.problem().get();
-		if (problem.reroutable() && !reply.targetFailed()) {
+		if (problem.reroutable()) {
+			exclude(request, reply, tried, destination);
 			return true;
 		}
 		boolean safe = (problem == Problem.NO_ANSWER) ? request.requestClass().retryable() : reply.targetFailed();
 		if (!safe || !this.health.tryRetry(request.service().name())) {
 			return false;
 		}
-		if (!request.service().keySource().keyed()) {
-			tried.add(destination.target().spec().name());
-		}
+		exclude(request, reply, tried, destination);
 		EventLog.log(Event.RETRIED, request.identity(), problem.code(), attempt + 1);
 		return true;
 	}
 
+	// Nothing was sent after a reroutable problem, so going on needs no retry budget.
+	private static void exclude(RoutedRequest request, GateReply reply, Set<String> tried, Destination destination) {
+		if (reply.targetFailed() && !request.service().keySource().keyed()) {
+			tried.add(destination.target().spec().name());
+		}
+	}
+
 	private GateReply send(RoutedRequest request, Destination destination, ControlView view, Set<String> tried,
 			CompletableFuture<Void> cancelled) {
 		OptionalLong delay = request.service().keySource().keyed() ? OptionalLong.empty()
@@ -175,9 +189,9 @@
 				destination.shard(), destination.fence(), remaining);
 	}
 
-	private void pause(ControlView view) {
+	private void pause(ControlView view, long nanos) {
 		try {
-			this.session.awaitNewer(view.version(), REROUTE_PAUSE_NANOS);
+			this.session.awaitNewer(view.version(), nanos);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/FileReplicaStore.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/FileReplicaStore.java
@@ -51,8 +51,14 @@
 		this.log = recovered.log();
 		this.segments = recovered.segments();
 		this.writer = new SegmentWriter(files, layout, this.segments.lastKey(), recovered.end());
-		this.writer.settle(recovered.torn());
-		clean();
+		try {
+			this.writer.settle(recovered.torn());
+			clean();
+		}
+		catch (IOException ex) {
+			closeFiles();
+			throw ex;
+		}
 	}
 
 	/**
@@ -182,6 +188,7 @@
 			this.files.rename(this.layout.pendingSnapshot(current), this.layout.snapshot(current));
 			this.files.syncFolder(this.layout.folder());
 		}
+		this.writer.syncMark();
 		while (this.segments.size() > 1 && this.segments.get(this.segments.firstKey()) <= current) {
 			this.files.delete(this.layout.segment(this.segments.firstKey()));
 			this.segments.remove(this.segments.firstKey());
@@ -207,7 +214,12 @@
 	@Override
 	public void close() {
 		this.usable = false;
-		try (Closeable last = this.lock) {
+		closeFiles();
+		release(this.lock);
+	}
+
+	private void closeFiles() {
+		try {
 			this.writer.close();
 		}
 		catch (IOException ex) {
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Recovery.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Recovery.java
@@ -87,12 +87,15 @@
 	private void readSegment(long number, boolean last, long synced) throws IOException, CorruptStorageException {
 		Path file = this.layout.segment(number);
 		byte[] data = this.files.read(file, this.limits.largestSegment());
+		if (data.length > this.limits.largestSegment()) {
+			throw StoreErrors.corrupt(file, data.length, "the segment is larger than any that is written");
+		}
 		int offset = readHeader(number, file, data);
 		long highest = 0;
 		while (offset < data.length) {
 			Optional<StoredBatch> batch = StoredBatch.decode(data, offset);
 			if (batch.isEmpty()) {
-				checkTorn(file, data, offset, last && offset >= synced);
+				checkTorn(file, data, offset, last);
 				break;
 			}
 			Optional<String> problem = this.replay.apply(batch.get());
@@ -103,7 +106,7 @@
 			offset += Block.sizeAt(data, offset);
 		}
 		if (offset < synced) {
-			throw StoreErrors.corrupt(file, offset, "acknowledged batches are missing at the end");
+			throw StoreErrors.corrupt(file, offset, "an acknowledged batch is damaged or missing");
 		}
 		this.segments.put(number, highest);
 		this.end = offset;
@@ -122,9 +125,9 @@
 		return Block.sizeAt(data, 0);
 	}
 
-	private void checkTorn(Path file, byte[] data, int offset, boolean mayBeTorn) throws CorruptStorageException {
-		if (!mayBeTorn) {
-			throw StoreErrors.corrupt(file, offset, "the checksum of an acknowledged batch doesn't match");
+	private void checkTorn(Path file, byte[] data, int offset, boolean last) throws CorruptStorageException {
+		if (!last) {
+			throw StoreErrors.corrupt(file, offset, "a batch is damaged although a later segment exists");
 		}
 		long expected = this.replay.state().sequence() + 1;
 		// A batch is written only after the one before it is synced, so an intact later
@@ -156,8 +159,7 @@
 			throw StoreErrors.corrupt(this.layout.snapshot(expected.index()), 0, "the snapshot is missing");
 		}
 		byte[] data = this.files.read(file, (long) this.limits.snapshot() + Block.OVERHEAD);
-		Optional<Snapshot> snapshot = Block.decode(data, 0, Block.Type.SNAPSHOT)
-			.filter((block) -> block.size() == data.length)
+		Optional<Snapshot> snapshot = Block.decodeWhole(data, Block.Type.SNAPSHOT)
 			.flatMap((block) -> Formats.decodeSnapshot(this.id, block.body()))
 			.filter((found) -> found.index() == expected.index() && found.term() == expected.term());
 		if (snapshot.isEmpty()) {
