--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/standin/StandInHandler.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/standin/StandInHandler.java
@@ -33,6 +33,8 @@
 
 	private static final String REQUEST_ID = "Redwingramp-Request-Id";
 
+	private static final String PAD = "pad=";
+
 	private final StandInOptions options;
 
 	private final Grants grants = new Grants();
@@ -164,6 +166,7 @@
 		node.put("key", shownPath.substring(shownPath.lastIndexOf('/') + 1));
 		node.put("runs", runs);
 		node.put("bodyBytes", length);
+		pad(request, node);
 		response.getHeaders().put(REQUEST_ID, crossed ? before[0] : identity);
 		if (this.faults.hits(Mode.TRUNCATED, identity)) {
 			truncated(request, response, callback, bytes(node));
@@ -173,6 +176,14 @@
 		}
 	}
 
+	// Makes the answer longer if the query says so (?pad=100000).
+	private static void pad(Request request, ObjectNode node) {
+		String query = request.getHttpURI().getQuery();
+		if (query != null && query.startsWith(PAD)) {
+			node.put("pad", "x".repeat(Integer.parseInt(query.substring(PAD.length()))));
+		}
+	}
+
 	private static void truncated(Request request, Response response, Callback callback, byte[] bytes) {
 		response.getHeaders().put(HttpHeader.CONTENT_LENGTH, bytes.length);
 		ByteBuffer half = ByteBuffer.wrap(bytes, 0, bytes.length / 2);
