Wait for the next owner of a key whose target can't be reached

Ruled out: waiting after the target may have got the request, and services without keys, where another target takes it at once; both stay within the budget.

--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/RequestRouter.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/route/RequestRouter.java
@@ -26,13 +26,6 @@
  */
 public final class RequestRouter {
 
-	private static final long REROUTE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-
-	// A new gate's first grant takes some round trips; each attempt before it costs a
-	// call
-	// and a log line, so the pause doubles up to here. A newer view ends it at once.
-	private static final long LONGEST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
-
 	private final EntrySession session;
 
 	private final RequestClassifier classifier;
@@ -84,7 +77,7 @@
 		Set<String> tried = new HashSet<>();
 		GateReply last = GateReply.refused(Problem.NO_OWNER, "no target owns the key in the view");
 		int attempt = 0;
-		long pauseNanos = REROUTE_PAUSE_NANOS;
+		long pauseNanos = Rerouting.firstPause();
 		while (this.clock.getAsLong() < request.deadline() && !cancelled.isDone()) {
 			ControlView view = this.session.view();
 			Optional<Destination> destination = this.session.mayRoute() ? this.finder.find(request, view, tried)
@@ -101,7 +94,7 @@
 				}
 			}
 			pause(view, pauseNanos);
-			pauseNanos = Math.min(LONGEST_PAUSE_NANOS, pauseNanos * 2);
+			pauseNanos = Rerouting.nextPause(pauseNanos, last);
 		}
 		return last;
 	}
@@ -112,7 +105,7 @@
 			return false;
 		}
 		Problem problem = reply.problem().get();
-		if (problem.reroutable() && !reply.targetFailed()) {
+		if (Rerouting.waits(reply, request.service().keySource().keyed())) {
 			return true;
 		}
 		boolean safe = (problem == Problem.NO_ANSWER) ? request.requestClass().retryable() : reply.targetFailed();
