Close connections only in blocking mode; follow up recoveries without waiting

Cause: scripts/test hung for 9 minutes in PeerLinksTests: closing a channel that was in non-blocking mode for a poll waited for its reader, and the interrupted reader waited for the close (thread dump: main in implCloseNonBlockingMode, wire-send in interrupt). A daemon could have hung in the same way when it stopped. Ruled out: a longer test timeout. Change: the mode is switched, and the channel closed, under one lock. Conclusion: the hang is explained by the dump; its absence is not proved by one run.

--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/entry/EntryLoop.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/entry/EntryLoop.java
@@ -27,6 +27,11 @@
 
 	private static final int HEARTBEATS_UNDER_WAY = 4;
 
+	// While something is to be reported or a request waits for a newer view, the steps of
+	// a
+	// recovery follow each other at this pace instead of the regular one.
+	private static final long URGENT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
 	private final EntrySession session;
 
 	private final GateKeeper keeper;
@@ -41,7 +46,9 @@
 
 	private final Semaphore underWay = new Semaphore(HEARTBEATS_UNDER_WAY);
 
-	private long nextHeartbeat;
+	private long lastHeartbeat = Long.MIN_VALUE / 2;
+
+	private volatile boolean controlAnswers;
 
 	private volatile boolean leaving;
 
@@ -88,12 +95,18 @@
 		boolean leased = this.session.observe();
 		this.keeper.step(this.session.view(), leased);
 		long now = this.clock.getAsLong();
-		if (now >= this.nextHeartbeat && this.underWay.tryAcquire()) {
-			this.nextHeartbeat = now + this.timing.entryHeartbeatNanos();
+		if (now - this.lastHeartbeat >= pace() && this.underWay.tryAcquire()) {
+			this.lastHeartbeat = now;
 			submit(this.session.heartbeat(this.keeper.reports(this.session.view(), this.leaving)));
 		}
 	}
 
+	private long pace() {
+		boolean urgent = this.controlAnswers
+				&& (this.leaving || this.keeper.unsettled() || this.session.newerViewWanted());
+		return urgent ? Math.min(URGENT_NANOS, this.timing.entryHeartbeatNanos()) : this.timing.entryHeartbeatNanos();
+	}
+
 	private void submit(EntryHeartbeat heartbeat) {
 		try {
 			this.calls.execute(() -> exchange(heartbeat));
@@ -107,13 +120,16 @@
 		try {
 			ControlReply reply = this.control.call(new ControlCall.Heartbeat(heartbeat),
 					this.timing.entryHeartbeatNanos() * 2);
+			this.controlAnswers = reply instanceof ControlReply.Renewed;
 			if (reply instanceof ControlReply.Renewed renewed && this.session.reply(renewed.reply())) {
 				this.keeper.viewChanged();
 			}
 		}
 		catch (ControlUnavailableException | ControlUndecidedException ex) {
-			// The next heartbeat tries again; the leases run out by themselves.
-			return;
+			// The next heartbeat tries again at the regular pace, so that a control group
+			// in
+			// trouble isn't flooded; the leases run out by themselves.
+			this.controlAnswers = false;
 		}
 		finally {
 			this.underWay.release();
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/entry/EntrySession.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/entry/EntrySession.java
@@ -36,6 +36,8 @@
 
 	private volatile ControlView view;
 
+	private volatile int waiting;
+
 	private boolean broken;
 
 	private boolean silent = true;
@@ -105,6 +107,7 @@
 	 */
 	public void awaitNewer(long version, long nanos) throws InterruptedException {
 		this.lock.lock();
+		this.waiting++;
 		try {
 			long left = nanos;
 			while (this.view.version() <= version && left > 0) {
@@ -112,10 +115,16 @@
 			}
 		}
 		finally {
+			this.waiting--;
 			this.lock.unlock();
 		}
 	}
 
+	// Returns whether a request waits for a newer view.
+	boolean newerViewWanted() {
+		return this.waiting > 0;
+	}
+
 	EntryHeartbeat heartbeat(GateReports reports) {
 		this.lock.lock();
 		try {
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateKeeper.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateKeeper.java
@@ -57,6 +57,8 @@
 
 	private final Set<String> lostLogged = new HashSet<>();
 
+	private volatile boolean unsettled;
+
 	private long ratesTaken;
 
 	private ShardLoads.Rates rates = new ShardLoads.Rates(Map.of(), List.of());
@@ -95,6 +97,21 @@
 			}
 			observeLoss(gate);
 		}
+		this.unsettled = leased && this.gates.all().stream().anyMatch((gate) -> unsettled(gate, view));
+	}
+
+	private boolean unsettled(GateRuntime gate, ControlView view) {
+		return !this.cycles.get(gate.target()).leased || this.authority.handOver(gate.target())
+				|| view.shardsOf(gate.target()).stream().anyMatch((shard) -> shard.phase() == ShardPhase.RELEASING);
+	}
+
+	/**
+	 * Returns whether a gate waits for its first lease, reports a loss, hands over or
+	 * releases shards, so that the next heartbeat should not wait.
+	 * @return whether something is under way that a heartbeat carries on
+	 */
+	public boolean unsettled() {
+		return this.unsettled;
 	}
 
 	private void observeLoss(GateRuntime gate) {
--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/FrameTransport.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/FrameTransport.java
@@ -57,6 +57,9 @@
 
 	private int outLength = HEADER_BYTES;
 
+	// Held while the channel is in non-blocking mode, so that it is never closed in it.
+	private final Object mode = new Object();
+
 	private volatile int maxFrameBytes;
 
 	private volatile long deadline = NO_DEADLINE;
@@ -171,9 +174,7 @@
 			return Arrival.BYTES;
 		}
 		try {
-			this.channel.configureBlocking(false);
-			int count = this.channel.read(this.header);
-			this.channel.configureBlocking(true);
+			int count = readWithoutWaiting();
 			return (count > 0) ? Arrival.BYTES : ((count == 0) ? Arrival.NOTHING : Arrival.END);
 		}
 		catch (IOException ex) {
@@ -181,6 +182,15 @@
 		}
 	}
 
+	private int readWithoutWaiting() throws IOException {
+		synchronized (this.mode) {
+			this.channel.configureBlocking(false);
+			int count = this.channel.read(this.header);
+			this.channel.configureBlocking(true);
+			return count;
+		}
+	}
+
 	@Override
 	public boolean isOpen() {
 		return !this.closed.get();
@@ -196,7 +206,7 @@
 		if (this.closed.compareAndSet(false, true)) {
 			this.watch.remove(this);
 			try {
-				this.channel.close();
+				closeChannel();
 			}
 			catch (IOException ex) {
 				// The connection is unusable either way.
@@ -205,6 +215,14 @@
 		}
 	}
 
+	// Closing a channel in non-blocking mode waits for its reader, which waits for the
+	// close if it is interrupted meanwhile.
+	private void closeChannel() throws IOException {
+		synchronized (this.mode) {
+			this.channel.close();
+		}
+	}
+
 	@Override
 	public int read(byte[] target, int offset, int length) throws TTransportException {
 		if (this.position == this.limit) {
