--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/slopes/ControlSlopes.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/slopes/ControlSlopes.java
@@ -134,6 +134,7 @@
 		double[] apply = new double[sizes.length];
 		double[] snapshot = new double[sizes.length];
 		double[] snapshotTime = new double[sizes.length];
+		double[] imageTime = new double[sizes.length];
 		withLedger(20_000);
 		for (int i = 0; i < sizes.length; i++) {
 			int count = sizes[i];
@@ -141,12 +142,14 @@
 			StandInCluster cluster = withLedger(count);
 			snapshot[i] = IMAGES.encode(cluster.state.image()).length / 1024.0;
 			snapshotTime[i] = Meter.micros(1, () -> encode(cluster)) / 1000;
+			imageTime[i] = Meter.micros(1, cluster.state::image) / 1000;
 			this.number = count;
 			apply[i] = Meter.micros(LEDGER_ROUND, () -> cluster.beginAndFinish(this.number++));
 		}
 		return List.of(Slope.of("ledger.memory (answer of 200 bytes)", "record", "KiB", sizes, memory),
 				Slope.of("ledger.apply of begin and finish", "record", "us", sizes, apply),
 				Slope.of("ledger.snapshot bytes", "record", "KiB", sizes, snapshot),
+				Slope.of("ledger.image taken by the control thread", "record", "ms", sizes, imageTime),
 				Slope.of("ledger.snapshot time", "record", "ms", sizes, snapshotTime));
 	}
 
--- a/spec/at-most-once.pml
+++ b/spec/at-most-once.pml
@@ -49,6 +49,7 @@
 byte attempt;			/* the attempt that the record belongs to */
 byte answerOf;			/* the attempt whose answer is recorded */
 byte lastAttempt;
+byte token;			/* the try that began the attempt, from 1 */
 
 typedef Try {
 	byte pc;
@@ -109,18 +110,27 @@
 inline start(x) {
 	lastAttempt++;
 	attempt = lastAttempt;
+	token = x + 1;
 	record = RUNNING;
 	result(x, true)
 }
 
+/* A begin that is repeated with the same token is answered like the first time. */
+#ifdef NO_TOKEN
+#define SAME_SEND(x) (record == RUNNING && t[x].epoch == epoch)
+#else
+#define SAME_SEND(x) (record == RUNNING && token == x + 1 && t[x].epoch == epoch)
+#endif
+
 inline apply_begin(x) {
 	if
+	:: SAME_SEND(x) -> result(x, true)
 #ifdef NO_RUNNING_RULE
 	:: record == RUNNING && CURRENT(x) && lastAttempt < 4 -> start(x)
 	:: record == RUNNING && !CURRENT(x) -> result(x, false)
 	:: record > RUNNING -> result(x, false)
 #else
-	:: record != NONE -> result(x, false)
+	:: record != NONE && !(SAME_SEND(x)) -> result(x, false)
 #endif
 	:: record == NONE && !(EXPIRED) && CURRENT(x) && lastAttempt < 4 -> start(x)
 	:: record == NONE && !((!(EXPIRED) && CURRENT(x) && lastAttempt < 4)) -> result(x, false)
@@ -132,7 +142,7 @@
 	if
 	:: SAME(x) && t[x].end == DONE && record != DONE -> record = DONE; answerOf = attempt
 	:: SAME(x) && t[x].end == UNKNOWN && record == RUNNING -> record = UNKNOWN
-	:: SAME(x) && t[x].end == NOT_RUN && record == RUNNING -> record = NONE; attempt = 0
+	:: SAME(x) && t[x].end == NOT_RUN && record == RUNNING -> record = NONE; attempt = 0; token = 0
 	:: else
 	fi
 }
@@ -194,7 +204,7 @@
 	:: d_step { now < END -> now++ }
 	:: d_step { epoch <= GATES -> epoch++; gate = 1 - gate }
 	/* expiry of the ledger */
-	:: d_step { record != NONE && now > RETAIN -> record = NONE; attempt = 0; answerOf = 0 }
+	:: d_step { record != NONE && now > RETAIN -> record = NONE; attempt = 0; token = 0; answerOf = 0 }
 	od
 }
 
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -8,7 +8,8 @@
  * epochs up to EPOCHS0 and EPOCHS1 of the targets, LEADERS changes of the leader, SLOTS grants
  * on the way to each target (the target takes them in any order), one request on the way.
  * The -DNO_... switches each remove one rule; -DUNCHECKED is a target that checks
- * neither lease, fence nor epoch; -DPROMPT lets no time pass between a gate's check
+ * neither lease, fence nor epoch; -DREPLACE_LEASE is a target that replaces its lease by
+ * that of each grant (docs/TARGETS.md) instead of keeping the later one; -DPROMPT lets no time pass between a gate's check
  * and the arrival of the request.
  */
 #ifndef FENCES
@@ -233,7 +234,11 @@
 	:: EPOCH_OK(t[y].way[w].epoch, y) && ORDER_OK(y, w) ->
 		t[y].epoch = MAX(t[y].epoch, t[y].way[w].epoch);
 		t[y].fence = t[y].way[w].fence;
+#ifdef REPLACE_LEASE
+		t[y].lease = t[y].way[w].until;
+#else
 		t[y].lease = MAX(t[y].lease, t[y].way[w].until);
+#endif
 		i = t[y].way[w].gate;
 		if
 		:: g[i].s[y].epoch == t[y].way[w].epoch ->
