--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateService.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateService.java
@@ -162,7 +162,11 @@
 				deadline, () -> permitted(request));
 		CompletableFuture<TargetAnswer> future = this.targets.send(call);
 		cancelled.thenRun(() -> future.cancel(true));
+		if (request.requestClass().retryable()) {
+			slot.gate.started(future);
+		}
 		TargetAnswer answer = await(future);
+		slot.gate.ended(future);
 		slot.release(result(answer));
 		return answer;
 	}
@@ -177,7 +181,7 @@
 			return new TargetAnswer.Lost("interrupted", 0, true);
 		}
 		catch (CancellationException ex) {
-			return new TargetAnswer.Lost("the caller went away", 0, true);
+			return new TargetAnswer.Lost("the caller went away or the target was lost", 0, true);
 		}
 		catch (ExecutionException ex) {
 			return new TargetAnswer.Lost(String.valueOf(ex.getCause()), 0, false);
