Forget that a target was slow once it gives no answers

Cause: a straggler's shards are moved away; its smoothed service time then never changes, so it counts as slow for ever. Ruled out: keys that hash to none of its slices by chance; it had served them before. Tests: StragglerDetectorTests.shouldForgetASlowTargetThatGetsNoWork fails without the age and passes with it; all tests of all modules pass.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/MedianStragglerDetector.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/MedianStragglerDetector.java
@@ -41,13 +41,13 @@
 
 	@Override
 	public void answered(String target, long serviceNanos, long now) {
-		speed(target).add(clamped(serviceNanos));
+		speed(target).add(clamped(serviceNanos, now), now);
 		judge(target, now);
 	}
 
 	@Override
 	public void unanswered(String target, long waitedNanos, long now) {
-		speed(target).addAtLeast(clamped(waitedNanos));
+		speed(target).addAtLeast(clamped(waitedNanos, now), now);
 		judge(target, now);
 	}
 
@@ -58,10 +58,10 @@
 
 	@Override
 	public Map<String, Double> slow(long now) {
-		double median = median();
+		double median = median(now);
 		return this.speeds.entrySet()
 			.stream()
-			.filter((entry) -> slow(entry.getValue(), median))
+			.filter((entry) -> slow(entry.getValue(), median, now))
 			.collect(Collectors.toMap(Map.Entry::getKey, (entry) -> entry.getValue().mean() / median,
 					(first, second) -> first, TreeMap::new));
 	}
@@ -87,24 +87,24 @@
 		if (speed.ejected(now)) {
 			return;
 		}
-		if (slow(speed, median()) && ejected(now).size() < this.speeds.size() / EJECTED_SHARE) {
+		if (slow(speed, median(now), now) && ejected(now).size() < this.speeds.size() / EJECTED_SHARE) {
 			speed.eject(now);
 		}
 	}
 
-	private long clamped(long nanos) {
-		double median = median();
+	private long clamped(long nanos, long now) {
+		double median = median(now);
 		return (median > 0) ? (long) Math.min(nanos, CLAMP_RATIO * median) : nanos;
 	}
 
-	private boolean slow(TargetSpeed speed, double median) {
-		return speed.judged() && median > 0 && speed.mean() > this.settings.threshold() * median;
+	private boolean slow(TargetSpeed speed, double median, long now) {
+		return speed.judged(now) && median > 0 && speed.mean() > this.settings.threshold() * median;
 	}
 
-	private double median() {
+	private double median(long now) {
 		double[] means = this.speeds.values()
 			.stream()
-			.filter(TargetSpeed::judged)
+			.filter((speed) -> speed.judged(now))
 			.mapToDouble(TargetSpeed::mean)
 			.sorted()
 			.toArray();
--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/TargetSpeed.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/TargetSpeed.java
@@ -15,6 +15,8 @@
 
 	private int answers;
 
+	private long lastAnswer;
+
 	private long ejectedUntil = Long.MIN_VALUE;
 
 	private long ejection;
@@ -23,7 +25,11 @@
 		this.settings = settings;
 	}
 
-	void add(long nanos) {
+	void add(long nanos, long now) {
+		if (outdated(now)) {
+			this.answers = 0;
+		}
+		this.lastAnswer = now;
 		this.answers++;
 		// The first answers are averaged, so that none of them weighs more than others.
 		this.mean += (nanos - this.mean) * Math.max(SMOOTHING, 1.0 / this.answers);
@@ -33,13 +39,19 @@
 	 * Adds the time that a request was waited for in vain, which says only that the
 	 * service time is longer.
 	 * @param nanos the time in nanoseconds
+	 * @param now the monotonic time in nanoseconds
 	 */
-	void addAtLeast(long nanos) {
-		add((long) Math.max(nanos, this.mean));
+	void addAtLeast(long nanos, long now) {
+		add((long) Math.max(nanos, this.mean), now);
+	}
+
+	boolean judged(long now) {
+		return this.answers >= this.settings.minimumAnswers() && !outdated(now);
 	}
 
-	boolean judged() {
-		return this.answers >= this.settings.minimumAnswers();
+	// A target whose work was moved away gives no more answers that could clear it.
+	private boolean outdated(long now) {
+		return this.answers > 0 && now - this.lastAnswer > this.settings.longestEjectionNanos();
 	}
 
 	double mean() {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/routing/StragglerDetectorTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/routing/StragglerDetectorTests.java
@@ -36,6 +36,21 @@
 		assertThat(this.detector.ejected(FIRST + 2 * FIRST)).isEmpty();
 	}
 
+	/**
+	 * Guards against a target that stays slow for ever because its work was moved away.
+	 */
+	@Test
+	void shouldForgetASlowTargetThatGetsNoWork() {
+		long longest = StragglerSettings.DEFAULT.longestEjectionNanos();
+		answer(6, 0, NORMAL, 20, 0);
+		answer(1, 5, 4 * NORMAL, 20, 1);
+		answer(5, 0, NORMAL, 20, longest);
+		assertThat(this.detector.slow(longest)).containsOnlyKeys("t5");
+		assertThat(this.detector.slow(longest + 2)).isEmpty();
+		answer(1, 5, NORMAL, 10, longest + 2);
+		assertThat(this.detector.slow(longest + 2)).isEmpty();
+	}
+
 	/** Guards against one slow answer that ejects a target. */
 	@Test
 	void shouldKeepATargetAfterOneSlowAnswer() {
