--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -136,7 +136,13 @@
 
 # deploy: 3 control replicas, 3 entry instances and the records of Fuego Firme.
 deploy() {
-	local name
+	local name port
+	for port in 1 2 3 11 12 13; do
+		if (exec 3<>"/dev/tcp/127.0.0.1/$((base + 100 + port))") 2>/dev/null; then
+			fail "port $((base + 100 + port)) is in use; choose others by DEPLOYMENT_PORT"
+			exit 1
+		fi
+	done
 	for name in shared-key operator targets; do
 		head -c 24 /dev/urandom | base64 >"$run/$name"
 	done
