--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/GatedSlots.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/GatedSlots.java
@@ -60,8 +60,10 @@
 			return;
 		}
 		this.waiting.add(id);
+		int forwardedTo = this.gateEntry;
 		this.time.after((entry == this.gateEntry) ? 0 : this.deployment.hopNanos(), () -> {
-			if (!this.gateLost) {
+			// A new gate is offered everything that waits when it takes over.
+			if (!this.gateLost && this.gateEntry == forwardedTo) {
 				offer(id);
 			}
 		});
@@ -98,6 +100,9 @@
 		effects.forEach((effect) -> {
 			long id = effect.id();
 			this.waiting.remove(id);
+			if (!(effect instanceof GateEffect.Start)) {
+				return;
+			}
 			this.running.add(id);
 			this.sender.send(id, () -> {
 				if (this.running.remove(id)) {
