Don't learn an overloaded speed as normal while the limit grows

Cause: each step of the ramp accepted up to 1.5 times the normal time and then learned it, so a cold target's limit could grow step by step into an overload in which it never warms. Change: above a limit of 1 only clearly faster windows are learned.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
@@ -150,7 +150,7 @@
 		}
 		else {
 			this.steadyWindows = 0;
-			learn(mean, WINDOW_WEIGHT);
+			learnInRamp(mean);
 			grow(warming);
 		}
 	}
@@ -185,6 +185,14 @@
 		this.window.clear();
 	}
 
+	// Above a limit of 1 only a clearly faster window counts: slower ones may come from
+	// the limit itself, and would let an overloaded speed pass as normal step by step.
+	private void learnInRamp(double mean) {
+		if (this.limit == 1 || mean < WARMING_RATIO * this.normal) {
+			learn(mean, WINDOW_WEIGHT);
+		}
+	}
+
 	private void learn(double nanos, double weight) {
 		this.normal = (this.normal == 0) ? nanos : this.normal + weight * (nanos - this.normal);
 	}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/routing/TargetGateTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/routing/TargetGateTests.java
@@ -188,6 +188,17 @@
 		assertThat(gate.status(this.now).warm()).isFalse();
 	}
 
+	/** Guards against an overloaded speed that passes as normal step by step. */
+	@Test
+	void shouldNotGrowIntoASpeedThatFallsWithEachStep() {
+		TargetGate gate = open(GateSettings.of(6, 10));
+		for (int i = 0; i < 1000; i++) {
+			int limit = gate.status(this.now).limit();
+			assertThat(limit).isLessThanOrEqualTo(3);
+			answer(gate, 1, (long) (NORMAL * Math.pow(1.3, limit - 1)));
+		}
+	}
+
 	/** Guards against late failures from before a restart that prolong the ramp. */
 	@Test
 	void shouldIgnoreAnswersFromBeforeARestartOfTheRamp() {
