Move slices off cold targets in the measurement of cold starts

Cause: a target of a sharded service could stay cold under full load: its gate had accepted the cold speed as normal and the model never moved its slices, though the controller moves them off targets that gates find slow. Change: cold starts run with the controller's moves, as the slowed targets do. Failed try: a warm target that is 1.75 times slower than normal in two windows takes back a step.

--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/LoadMeasures.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/LoadMeasures.java
@@ -97,11 +97,7 @@
 
 	private List<Result> tail(Deployment deployment, Service service, Safeguards safeguards, int slowed) {
 		ServiceModel model = new ServiceModel(deployment, service, safeguards, this.seed, WARM_UP);
-		if (service.sharded() && safeguards.choice()) {
-			new ShardMover(model, deployment, PlacementPolicies.balanced(), ShardMover.CHURN_BUDGET,
-					new SplittableRandom(this.seed))
-				.start();
-		}
+		startMoves(model, deployment, safeguards);
 		model.time().at(WARM_UP / 2, () -> slow(model, slowed));
 		RunResult run = model.run(TAIL_LOAD * deployment.capacity(service), WARM_UP + this.measured);
 		String name = service.name() + " slowed=" + slowed + " " + safeguards.name();
@@ -110,6 +106,15 @@
 				figures.of("p99.9", run.millis(99.9), "ms"), figures.of("answered", run.answeredShare(), "share"));
 	}
 
+	// The controller moves slices away from targets that gates find slow.
+	private void startMoves(ServiceModel model, Deployment deployment, Safeguards safeguards) {
+		if (model.sharded() && safeguards.choice()) {
+			new ShardMover(model, deployment, PlacementPolicies.balanced(), ShardMover.CHURN_BUDGET,
+					new SplittableRandom(this.seed))
+				.start();
+		}
+	}
+
 	private void slow(ServiceModel model, int count) {
 		IntStream.range(0, Math.min(count, model.targets().size()))
 			.forEach((target) -> model.targets().get(target).slow(SLOW_FACTOR));
@@ -129,6 +134,7 @@
 	private List<Result> coldStart(Deployment deployment, Service service, Safeguards safeguards, Cold cold,
 			boolean told) {
 		ServiceModel model = new ServiceModel(deployment, service, safeguards, this.seed, WARM_UP);
+		startMoves(model, deployment, safeguards);
 		model.time().at(WARM_UP, () -> cold.targets(model).forEach((target) -> model.chill(target, told)));
 		RunResult run = model.run(COLD_LOAD * deployment.capacity(service), WARM_UP + this.measured);
 		String name = service.name() + " " + cold.name() + ((told) ? " told " : " sudden ") + safeguards.name();
