--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
@@ -15,6 +15,9 @@
 	/** Mean over normal service time up to which the limit grows. */
 	private static final double GROW_RATIO = 1.5;
 
+	/** Covers the chance spread of a window's mean, so that the estimate isn't biased. */
+	private static final double LEARN_RATIO = 1.25;
+
 	/** Mean over normal service time from which a warm target counts as cold. */
 	private static final double COLD_RATIO = 3;
 
@@ -185,10 +188,10 @@
 		this.window.clear();
 	}
 
-	// Above a limit of 1 only a clearly faster window counts: slower ones may come from
-	// the limit itself, and would let an overloaded speed pass as normal step by step.
+	// Above a limit of 1, clearly slower windows aren't learned: they may come from the
+	// limit itself, and an overloaded speed would pass as normal step by step.
 	private void learnInRamp(double mean) {
-		if (this.limit == 1 || mean < WARMING_RATIO * this.normal) {
+		if (this.limit == 1 || mean < LEARN_RATIO * this.normal) {
 			learn(mean, WINDOW_WEIGHT);
 		}
 	}
