--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
@@ -15,6 +15,9 @@
 	/** Mean over normal service time up to which the limit grows. */
 	private static final double GROW_RATIO = 1.5;
 
+	/** Covers the chance spread of a window's mean, so that the estimate isn't biased. */
+	private static final double LEARN_RATIO = 1.25;
+
 	/** Mean over normal service time from which a warm target counts as cold. */
 	private static final double COLD_RATIO = 3;
 
@@ -150,7 +153,7 @@
 		}
 		else {
 			this.steadyWindows = 0;
-			learn(mean, WINDOW_WEIGHT);
+			learnInRamp(mean);
 			grow(warming);
 		}
 	}
@@ -185,6 +188,14 @@
 		this.window.clear();
 	}
 
+	// Above a limit of 1, clearly slower windows aren't learned: they may come from the
+	// limit itself, and an overloaded speed would pass as normal step by step.
+	private void learnInRamp(double mean) {
+		if (this.limit == 1 || mean < LEARN_RATIO * this.normal) {
+			learn(mean, WINDOW_WEIGHT);
+		}
+	}
+
 	private void learn(double nanos, double weight) {
 		this.normal = (this.normal == 0) ? nanos : this.normal + weight * (nanos - this.normal);
 	}
