--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/standin/StandInHandler.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/standin/StandInHandler.java
@@ -57,6 +57,14 @@
 		this.serviceNanos = TimeUnit.MICROSECONDS.toNanos(options.serviceMicros());
 	}
 
+	int mostRuns() {
+		return this.journal.mostRuns();
+	}
+
+	int distinctRuns() {
+		return this.journal.runs().size();
+	}
+
 	@Override
 	public boolean handle(Request request, Response response, Callback callback) throws Exception {
 		String path = request.getHttpURI().getPath();
