Judge targets that answer within a millisecond by a millisecond

Cause: scripts/throughput with 10 callers reached only 4212 requests/s through a gate, with 1.9 ms added at the median. The log showed the limit going between 1 and 3 all the time (485 changes in a few seconds): at a normal speed of 0.2 to 0.4 ms, scheduling noise passed for a cold target. Ruled out: the log, the locks of the session and the collector; the limit alone explains it. Change: the ramp compares with at least 1 ms. The test passes.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/Ramp.java
@@ -38,6 +38,12 @@
 
 	private static final int LONGEST_PAUSE = 8;
 
+	/**
+	 * Normal speeds below this are judged as this one. Changes of a fraction of a
+	 * millisecond come from scheduling, and a limit that follows them stays near 1.
+	 */
+	private static final double LEAST_NORMAL_NANOS = 1_000_000;
+
 	/**
 	 * Weight of one answer of a warm target. A larger one would follow a target that
 	 * turns four times slower before the window shows it as cold.
@@ -85,8 +91,12 @@
 		return this.warm;
 	}
 
+	private double reference() {
+		return Math.max(this.normal, LEAST_NORMAL_NANOS);
+	}
+
 	boolean slow(double nanos) {
-		return this.normal > 0 && nanos > COLD_RATIO * this.normal;
+		return this.normal > 0 && nanos > COLD_RATIO * reference();
 	}
 
 	int restarts() {
@@ -114,7 +124,7 @@
 		if (!this.enabled) {
 			return;
 		}
-		double clamped = (this.normal > 0) ? Math.min(nanos, CLAMP_RATIO * this.normal) : nanos;
+		double clamped = (this.normal > 0) ? Math.min(nanos, CLAMP_RATIO * reference()) : nanos;
 		this.window.add(clamped, failed);
 		if (this.warm) {
 			watch(clamped, failed);
@@ -131,7 +141,7 @@
 	private void watch(double nanos, boolean failed) {
 		boolean slow = slow(nanos);
 		boolean cold = this.window.failures() >= COLD_FAILURES
-				|| (this.window.full() && this.window.mean() > COLD_RATIO * this.normal);
+				|| (this.window.full() && this.window.mean() > COLD_RATIO * reference());
 		if (cold && this.normal > 0) {
 			restart();
 			return;
@@ -148,7 +158,7 @@
 		if (this.normal == 0) {
 			this.normal = mean;
 		}
-		if (mean > GROW_RATIO * this.normal) {
+		if (mean > GROW_RATIO * reference()) {
 			slowWindow(mean, warming);
 		}
 		else {
@@ -191,7 +201,7 @@
 	// Above a limit of 1, clearly slower windows aren't learned: they may come from the
 	// limit itself, and an overloaded speed would pass as normal step by step.
 	private void learnInRamp(double mean) {
-		if (this.limit == 1 || mean < LEARN_RATIO * this.normal) {
+		if (this.limit == 1 || mean < LEARN_RATIO * reference()) {
 			learn(mean, WINDOW_WEIGHT);
 		}
 	}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/routing/TargetGateTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/routing/TargetGateTests.java
@@ -138,6 +138,16 @@
 		assertThat(gate.status(this.now).warm()).isTrue();
 	}
 
+	/** Guards against a limit that stays near 1 because of scheduling noise. */
+	@Test
+	void shouldGrowInSpiteOfNoiseBelowAMillisecond() {
+		TargetGate gate = open(GateSettings.of(16, 10));
+		for (int i = 0; i < 480; i++) {
+			answer(gate, 1, (i % 48 < 40) ? 200_000 : 900_000);
+		}
+		assertThat(gate.status(this.now).limit()).isEqualTo(16);
+	}
+
 	/** Guards against a ramp that one slow answer or one failure restarts. */
 	@Test
 	void shouldStayWarmAfterOneSlowAnswer() {
