Move shards off overloaded targets eight times faster than for balance

Change: ChurnBudget, used by the controller and the model: 1/64 a second, eight times that while a target has twice its share by its weight, as a straggler has. The controller had 1/32 and 4 before and is now as modelled.

--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ShardMover.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/measure/ShardMover.java
@@ -8,6 +8,7 @@
 
 import org.redwingramp.core.control.ControlTiming;
 import org.redwingramp.core.model.ShardId;
+import org.redwingramp.core.placement.ChurnBudget;
 import org.redwingramp.core.placement.PlacementPolicy;
 import org.redwingramp.core.placement.PlacementPolicy.Move;
 import org.redwingramp.core.placement.PlacementPolicy.PlacedShard;
@@ -19,8 +20,8 @@
  */
 final class ShardMover {
 
-	/** The controller's churn budget for each second: a 64th of the shards. */
-	static final int CHURN_BUDGET = ShardMap.SLICES / 64;
+	/** The controller's churn budget for each second while no target is overloaded. */
+	static final int CHURN_BUDGET = ShardMap.SLICES / ChurnBudget.DIVISOR;
 
 	private static final long PERIOD = VirtualTime.SECONDS;
 
@@ -161,7 +162,10 @@
 
 	private void plan() {
 		if (this.model.sharded()) {
-			this.policy.plan(placed(), capacities(), this.budget).forEach(this::move);
+			List<PlacedShard> placed = placed();
+			List<TargetCapacity> capacities = capacities();
+			int moves = (this.budget == CHURN_BUDGET) ? ChurnBudget.movesPerSecond(placed, capacities) : this.budget;
+			this.policy.plan(placed, capacities, moves).forEach(this::move);
 		}
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ShardPlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/control/internal/ShardPlanner.java
@@ -19,6 +19,7 @@
 import org.redwingramp.core.model.RecordBody;
 import org.redwingramp.core.model.RecordKind;
 import org.redwingramp.core.model.ShardId;
+import org.redwingramp.core.placement.ChurnBudget;
 import org.redwingramp.core.placement.PlacementPolicy;
 import org.redwingramp.core.placement.PlacementPolicy.Move;
 import org.redwingramp.core.placement.PlacementPolicy.PlacedShard;
@@ -43,17 +44,6 @@
 
 	private static final long REBALANCE_NANOS = 1_000_000_000L;
 
-	/** The churn budget per second as a part of the service's shards. */
-	private static final int CHURN_DIVISOR = 32;
-
-	/**
-	 * A target with this many times its share is overloaded, as after a cold start of all
-	 * others, so the budget rises.
-	 */
-	private static final double OVERLOAD = 2;
-
-	private static final int OVERLOAD_FACTOR = 4;
-
 	private final PlacementPolicy policy;
 
 	private final LoadBook loads;
@@ -97,7 +87,8 @@
 		if (rebalance || !unowned.isEmpty()) {
 			List<PlacedShard> placed = placed(shards, limits.wanted(), now);
 			List<TargetCapacity> capacities = capacities(service, targets.values(), view, now);
-			List<Move> moves = this.policy.plan(placed, capacities, rebalance ? budget(placed, capacities) : 0);
+			List<Move> moves = this.policy.plan(placed, capacities,
+					rebalance ? ChurnBudget.movesPerSecond(placed, capacities) : 0);
 			assign(unowned, moves, targets, view, proposals);
 			release(moves, view, proposals);
 		}
@@ -111,17 +102,6 @@
 			.toList();
 	}
 
-	private static int budget(List<PlacedShard> placed, List<TargetCapacity> capacities) {
-		Map<String, Double> loads = placed.stream()
-			.collect(Collectors.groupingBy(PlacedShard::owner, Collectors.summingDouble(PlacedShard::load)));
-		double total = placed.stream().mapToDouble(PlacedShard::load).sum();
-		List<TargetCapacity> takers = capacities.stream().filter(TargetCapacity::takesShards).toList();
-		double mean = total / takers.stream().mapToDouble(TargetCapacity::weight).sum();
-		boolean overload = takers.stream()
-			.anyMatch((target) -> loads.getOrDefault(target.name(), 0.0) > OVERLOAD * mean * target.weight());
-		return Math.max(1, placed.size() / CHURN_DIVISOR) * (overload ? OVERLOAD_FACTOR : 1);
-	}
-
 	private void evacuate(Collection<ShardState> shards, Map<String, TargetState> targets, ControlView view,
 			Proposals proposals) {
 		List<FencedShard> leaving = shards.stream()
