Count requests by outcome and show the gates' queues

Ruled out: labels, which the registry doesn't have. Conclusion: control replicas still have no metrics of their own.

--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateRegistry.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateRegistry.java
@@ -58,12 +58,28 @@
 		return this.retired.stream().filter((gate) -> gate.target().equals(target)).allMatch(GateRuntime::idle);
 	}
 
-	// Returns the number of requests that hold or wait for a slot.
-	int inFlight() {
-		return this.gates.values()
-			.stream()
-			.mapToInt((gate) -> gate.status().inFlight() + gate.status().waiting())
-			.sum();
+	/**
+	 * Returns the requests that targets run for this instance's gates.
+	 * @return the number of requests
+	 */
+	public int inFlight() {
+		return this.gates.values().stream().mapToInt((gate) -> gate.status().inFlight()).sum();
+	}
+
+	/**
+	 * Returns the requests that wait for a slot.
+	 * @return the number of requests
+	 */
+	public int waiting() {
+		return this.gates.values().stream().mapToInt((gate) -> gate.status().waiting()).sum();
+	}
+
+	/**
+	 * Returns the number of gates.
+	 * @return the number of targets that this instance is the gate of
+	 */
+	public int size() {
+		return this.gates.size();
 	}
 
 	/**
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/http/CallerHandler.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/http/CallerHandler.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import com.codahale.metrics.Timer;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Handler;
@@ -19,6 +18,7 @@
 import org.redwingramp.daemon.internal.events.Event;
 import org.redwingramp.daemon.internal.events.EventLog;
 import org.redwingramp.daemon.internal.gate.GateReply;
+import org.redwingramp.daemon.internal.metrics.CallerMetrics;
 import org.redwingramp.daemon.internal.route.InboundRequest;
 import org.redwingramp.daemon.internal.route.Problem;
 import org.redwingramp.daemon.internal.route.RequestRefusedException;
@@ -45,17 +45,17 @@
 
 	private final int maxBodyBytes;
 
-	private final Timer times;
+	private final CallerMetrics metrics;
 
 	private final LongSupplier clock;
 
 	public CallerHandler(RequestRouter router, RequestGauge gauge, Optional<Secret> token, int maxBodyBytes,
-			Timer times, LongSupplier clock) {
+			CallerMetrics metrics, LongSupplier clock) {
 		this.router = router;
 		this.gauge = gauge;
 		this.token = token;
 		this.maxBodyBytes = maxBodyBytes;
-		this.times = times;
+		this.metrics = metrics;
 		this.clock = clock;
 	}
 
@@ -154,9 +154,10 @@
 	}
 
 	private void log(String identity, Outcome outcome, int status, String code, long arrived) {
-		this.times.update(this.clock.getAsLong() - arrived, TimeUnit.NANOSECONDS);
+		long elapsed = this.clock.getAsLong() - arrived;
+		this.metrics.answered(outcome, elapsed);
 		EventLog.log(Event.ANSWERED, identity, outcome.headerValue(), status, code,
-				TimeUnit.NANOSECONDS.toMicros(this.clock.getAsLong() - arrived));
+				TimeUnit.NANOSECONDS.toMicros(elapsed));
 	}
 
 }
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/EntryRole.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/runtime/EntryRole.java
@@ -28,6 +28,7 @@
 import org.redwingramp.daemon.internal.http.AnnouncementHandler;
 import org.redwingramp.daemon.internal.http.CallerHandler;
 import org.redwingramp.daemon.internal.http.RequestGauge;
+import org.redwingramp.daemon.internal.metrics.CallerMetrics;
 import org.redwingramp.daemon.internal.route.RequestRouter;
 import org.redwingramp.daemon.internal.route.Routers;
 import org.redwingramp.daemon.internal.route.ServiceHealth;
@@ -94,8 +95,11 @@
 		this.gauge = new RequestGauge(settings.limits().maxConcurrentRequests(), clock);
 		this.handlers = new Handler.Sequence(new AnnouncementHandler(this.session, control, settings.targets()),
 				new CallerHandler(router, this.gauge, settings.callerToken(), settings.limits().maxRequestBodyBytes(),
-						metrics.timer("request"), clock));
+						new CallerMetrics(metrics), clock));
 		metrics.gauge("requests.current", () -> this.gauge::current);
+		metrics.gauge("gates.in_flight", () -> this.gates.registry()::inFlight);
+		metrics.gauge("gates.waiting", () -> this.gates.registry()::waiting);
+		metrics.gauge("gates.open", () -> this.gates.registry()::size);
 		metrics.gauge("view.version", () -> () -> this.session.view().version());
 		this.thread = new Thread(this.loop, "entry-session");
 	}
