--- a/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/gate/GateServiceTests.java
+++ b/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/gate/GateServiceTests.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import org.redwingramp.core.control.Command;
 import org.redwingramp.core.model.RequestClass;
@@ -13,6 +14,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+@Timeout(10)
 class GateServiceTests {
 
 	private static final String ID = "booking-1";
