Share twins found in the last read of the change

Cause: reading the whole change showed the scan for releasing shards and the conversion of header fields written twice, and two locked status reads of the gate for each served request. Merging the enums Event and Problem, or the settings text of two modules' tests: alike in shape only. Change: GateKeeper.releasing and Headers.all serve both places; GateService reads the status once. Conclusion: behaviour is unchanged.

--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateKeeper.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateKeeper.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import org.redwingramp.core.control.Command.FencedShard;
 import org.redwingramp.core.control.ControlTiming;
@@ -102,7 +103,11 @@
 
 	private boolean unsettled(GateRuntime gate, ControlView view) {
 		return !this.cycles.get(gate.target()).leased || this.authority.handOver(gate.target())
-				|| view.shardsOf(gate.target()).stream().anyMatch((shard) -> shard.phase() == ShardPhase.RELEASING);
+				|| releasing(gate, view).findAny().isPresent();
+	}
+
+	private static Stream<ShardState> releasing(GateRuntime gate, ControlView view) {
+		return view.shardsOf(gate.target()).stream().filter((shard) -> shard.phase() == ShardPhase.RELEASING);
 	}
 
 	/**
@@ -169,9 +174,7 @@
 			.toList();
 		List<FencedShard> released = this.gates.all()
 			.stream()
-			.flatMap((gate) -> view.shardsOf(gate.target())
-				.stream()
-				.filter((shard) -> shard.phase() == ShardPhase.RELEASING)
+			.flatMap((gate) -> releasing(gate, view)
 				.filter((shard) -> gate.idle(shard.id()) && this.gates.retiredIdle(gate.target())))
 			.map(GateKeeper::fenced)
 			.toList();
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateService.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/gate/GateService.java
@@ -13,6 +13,7 @@
 import org.redwingramp.core.model.ShardId;
 import org.redwingramp.core.routing.TargetGate.GateEffect;
 import org.redwingramp.core.routing.TargetGate.GateResult;
+import org.redwingramp.core.routing.TargetGate.GateStatus;
 import org.redwingramp.daemon.internal.gate.GateRuntime.Ticket;
 import org.redwingramp.daemon.internal.route.Problem;
 
@@ -65,7 +66,8 @@
 		}
 		this.loads.counted(request.shard(), request.key());
 		GateReply reply = serve(request, gate.get(), target.get(), cancelled);
-		return reply.withBusy(gate.get().status().inFlight() + gate.get().status().waiting());
+		GateStatus status = gate.get().status();
+		return reply.withBusy(status.inFlight() + status.waiting());
 	}
 
 	// A request that runs at most once waits for a slot only after it was recorded: a
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/http/CallerHandler.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/http/CallerHandler.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -112,7 +111,7 @@
 	}
 
 	private InboundRequest inbound(Request request, byte[] body, long arrived) {
-		List<HeaderField> all = request.getHeaders().stream().map(CallerHandler::field).toList();
+		List<HeaderField> all = Headers.all(request.getHeaders());
 		List<HeaderField> passedOn = Headers.passedOn(request.getHeaders())
 			.stream()
 			.filter((field) -> this.token.isEmpty() || !field.name().equalsIgnoreCase("Authorization"))
@@ -122,10 +121,6 @@
 				(query != null) ? "?" + query : "", all, passedOn, body, arrived);
 	}
 
-	private static HeaderField field(HttpField field) {
-		return new HeaderField(field.getName(), (field.getValue() != null) ? field.getValue() : "");
-	}
-
 	private void answer(Response response, Callback callback, String identity, GateReply reply, long arrived) {
 		response.setStatus(reply.status());
 		reply.headers().forEach((field) -> response.getHeaders().add(field.name(), field.value()));
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/http/Headers.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/http/Headers.java
@@ -56,6 +56,15 @@
 		return fields.stream().filter((field) -> passesOn(field.getLowerCaseName())).map(Headers::field).toList();
 	}
 
+	/**
+	 * Returns all header fields.
+	 * @param fields the received fields
+	 * @return the fields in order
+	 */
+	public static List<HeaderField> all(HttpFields fields) {
+		return fields.stream().map(Headers::field).toList();
+	}
+
 	private static boolean passesOn(String lowerCaseName) {
 		String name = lowerCaseName.toLowerCase(Locale.ROOT);
 		return !NOT_PASSED_ON.contains(name) && !name.startsWith(OUR_PREFIX);
