Run entry instances and control replicas on the users' platform

Cause: the product had no path for the platform's protocol; its daemon polls every 5 ms and sends each request through the gate of its target. Change: a node module with one event loop for each process, entry instances that send straight to the owner of a key, a fleet state machine on the existing replicated log, key leases with part releases, a key planner, and the adapter in platform/. The replicated log admits instances of any name.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/ConsensusTiming.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/ConsensusTiming.java
@@ -18,6 +18,16 @@
 	public static final ConsensusTiming DEFAULT = new ConsensusTiming(50 * MILLISECOND, 200 * MILLISECOND,
 			400 * MILLISECOND, 0.01);
 
+	/**
+	 * Returns how long a member of an open group has to be silent before an instance of
+	 * another name takes its place. Longer than the restart of a process takes, so that a
+	 * restart moves no replica.
+	 * @return the time in nanoseconds
+	 */
+	public long replaceAfterNanos() {
+		return 5000 * MILLISECOND;
+	}
+
 	/**
 	 * Returns how long after the start of a heartbeat round that a majority acknowledged
 	 * the leader may still act as the only leader.
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/Replicas.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/Replicas.java
@@ -36,4 +36,21 @@
 		return ReplicaCore.create(stored, listedNames, timing, random);
 	}
 
+	/**
+	 * Creates a replica of a group without a fixed list of names. The founding names form
+	 * the group; later any instance that is seen may take the place of a member that has
+	 * been silent for {@link ConsensusTiming#replaceAfterNanos()}.
+	 * @param stored the content of the data folder
+	 * @param foundingNames the names that form the group; empty if this replica may only
+	 * join one
+	 * @param groupSize the number of voters that the group keeps
+	 * @param timing the timing
+	 * @param random the source of randomness
+	 * @return the replica
+	 */
+	public static Replica createOpen(StoredState stored, List<String> foundingNames, int groupSize,
+			ConsensusTiming timing, RandomGenerator random) {
+		return ReplicaCore.createOpen(stored, foundingNames, groupSize, timing, random);
+	}
+
 }
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Context.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Context.java
@@ -27,7 +27,7 @@
 
 	private final ReplicaId id;
 
-	private final List<String> listedNames;
+	private final NamePolicy names;
 
 	private final ConsensusTiming timing;
 
@@ -55,9 +55,9 @@
 
 	private long nextBatch = 1;
 
-	Context(StoredState stored, List<String> listedNames, ConsensusTiming timing, RandomGenerator random) {
+	Context(StoredState stored, NamePolicy names, ConsensusTiming timing, RandomGenerator random) {
 		this.id = stored.id();
-		this.listedNames = listedNames.stream().sorted().toList();
+		this.names = names;
 		this.timing = timing;
 		this.random = random;
 		this.log = new ReplicaLog(stored);
@@ -88,7 +88,11 @@
 	}
 
 	List<String> listedNames() {
-		return this.listedNames;
+		return this.names.founding();
+	}
+
+	NamePolicy names() {
+		return this.names;
 	}
 
 	ConsensusTiming timing() {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Formation.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Formation.java
@@ -58,7 +58,8 @@
 	}
 
 	void tick() {
-		boolean founder = this.context.listedNames().get(0).equals(this.context.id().name());
+		boolean founder = !this.context.listedNames().isEmpty()
+				&& this.context.listedNames().get(0).equals(this.context.id().name());
 		if (!founder || !this.context.log().blank() || !allSeenBlank()) {
 			return;
 		}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Leadership.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Leadership.java
@@ -95,6 +95,15 @@
 		return !alive(replica) && this.context.now() - this.electedNanos > this.context.timing().maxElectionNanos();
 	}
 
+	// Returns how long a replica has acknowledged nothing, counted from the election.
+	long silentNanos(ReplicaId replica) {
+		if (replica.equals(this.context.id())) {
+			return 0;
+		}
+		long acknowledged = progress(replica).map(Progress::acknowledgedSendNanos).orElse(this.electedNanos);
+		return this.context.now() - Math.max(acknowledged, this.electedNanos);
+	}
+
 	void tick() {
 		if (this.context.now() - this.lastHeartbeatNanos >= this.context.timing().heartbeatNanos()) {
 			heartbeat();
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/MembershipChanges.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/MembershipChanges.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 import org.redwingramp.core.consensus.Membership;
 import org.redwingramp.core.consensus.ReplicaEvent.PeerSeen;
@@ -41,13 +42,16 @@
 	}
 
 	void seen(PeerSeen peer) {
-		boolean foreign = !this.context.listedNames().contains(peer.id().name())
+		boolean foreign = !this.context.names().admits(peer.id().name())
 				|| peer.id().name().equals(this.context.id().name());
-		Newcomer known = this.newcomers.get(peer.id().name());
-		if (foreign || (known != null && known.id().equals(peer.id()))) {
+		if (foreign) {
 			return;
 		}
-		this.newcomers.put(peer.id().name(), new Newcomer(peer.id(), peer.blank(), this.context.now()));
+		Newcomer known = this.newcomers.get(peer.id().name());
+		boolean same = known != null && known.id().equals(peer.id());
+		long first = (same) ? known.firstSeenNanos() : this.context.now();
+		boolean blank = (same) ? known.blank() : peer.blank();
+		this.newcomers.put(peer.id().name(), new Newcomer(peer.id(), blank, first, this.context.now()));
 	}
 
 	void tick() {
@@ -84,22 +88,42 @@
 
 	private boolean ready(Newcomer newcomer) {
 		long wait = NOT_BLANK_WAIT * this.context.timing().maxElectionNanos();
-		return newcomer.blank() || this.context.now() - newcomer.seenNanos() > wait;
+		return fresh(newcomer) && (newcomer.blank() || this.context.now() - newcomer.firstSeenNanos() > wait);
+	}
+
+	// In an open group a newcomer may have been replaced itself before it was admitted.
+	private boolean fresh(Newcomer newcomer) {
+		long age = this.context.now() - newcomer.lastSeenNanos();
+		return !this.context.names().open() || age <= this.context.timing().replaceAfterNanos();
 	}
 
 	private Optional<Membership> replace(Membership group, ReplicaId newcomer) {
-		List<ReplicaId> former = group.all().stream().filter((id) -> id.name().equals(newcomer.name())).toList();
-		if (!former.stream().allMatch(this.leadership::silent)) {
+		List<ReplicaId> sameName = group.all().stream().filter((id) -> id.name().equals(newcomer.name())).toList();
+		if (!sameName.stream().allMatch(this.leadership::silent)) {
+			return Optional.empty();
+		}
+		boolean stranger = sameName.isEmpty() && this.context.names().open();
+		boolean full = group.all().size() >= this.context.names().groupSize();
+		List<ReplicaId> former = (stranger && full) ? longestSilent(group) : sameName;
+		if (stranger && full && former.isEmpty()) {
 			return Optional.empty();
 		}
 		List<ReplicaId> voters = group.voters().stream().filter((id) -> !former.contains(id)).toList();
 		List<ReplicaId> learners = group.learners().stream().filter((id) -> !former.contains(id)).toList();
 		Membership next = new Membership(group.clusterId(), voters, with(learners, newcomer));
-		boolean enough = voters.size() > this.context.listedNames().size() / 2;
+		boolean enough = voters.size() > this.context.names().groupSize() / 2;
 		boolean alive = voters.stream().filter(this.leadership::alive).count() >= next.quorum();
 		return Optional.of(next).filter((membership) -> enough && alive);
 	}
 
+	// A learner that went silent is given up before a voter.
+	private List<ReplicaId> longestSilent(Membership group) {
+		return Stream.concat(group.learners().stream(), group.voters().stream())
+			.filter((id) -> this.leadership.silentNanos(id) > this.context.timing().replaceAfterNanos())
+			.limit(1)
+			.toList();
+	}
+
 	private static List<ReplicaId> with(List<ReplicaId> ids, ReplicaId added) {
 		List<ReplicaId> result = new ArrayList<>(ids);
 		result.add(added);
@@ -110,7 +134,7 @@
 		return ids.stream().filter((id) -> !id.equals(removed)).toList();
 	}
 
-	private record Newcomer(ReplicaId id, boolean blank, long seenNanos) {
+	private record Newcomer(ReplicaId id, boolean blank, long firstSeenNanos, long lastSeenNanos) {
 	}
 
 }
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/ReplicaCore.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/ReplicaCore.java
@@ -78,7 +78,21 @@
 			throw new IllegalArgumentException("Replica " + stored.id() + " isn't in the list of control replicas "
 					+ listedNames + "; add it to the settings of all replicas");
 		}
-		return new ReplicaCore(new Context(stored, listedNames, timing, random));
+		return new ReplicaCore(new Context(stored, NamePolicy.listed(listedNames), timing, random));
+	}
+
+	/**
+	 * Creates a replica of a group that admits instances of any name.
+	 * @param stored the content of the data folder
+	 * @param foundingNames the names that form the group, or none
+	 * @param groupSize the number of voters that the group keeps
+	 * @param timing the timing
+	 * @param random the source of randomness
+	 * @return the replica
+	 */
+	public static Replica createOpen(StoredState stored, List<String> foundingNames, int groupSize,
+			ConsensusTiming timing, RandomGenerator random) {
+		return new ReplicaCore(new Context(stored, NamePolicy.open(foundingNames, groupSize), timing, random));
 	}
 
 	@Override
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdRate.java
@@ -0,0 +1,46 @@
+package org.redwingramp.core.dispatch;
+
+/**
+ * Limits the requests that one entry instance sends to a cold target, so that all entry
+ * instances together stay within what it bears. A token bucket. Not thread safe.
+ */
+public final class ColdRate {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	/**
+	 * One request at a time: several entry instances may send theirs in the same second.
+	 */
+	private static final double MOST_TOKENS = 1;
+
+	private double tokens = MOST_TOKENS;
+
+	private long filledNanos;
+
+	/**
+	 * Creates a full bucket.
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public ColdRate(long now) {
+		this.filledNanos = now;
+	}
+
+	/**
+	 * Takes a request's token.
+	 * @param perSecond the requests a second that the target bears
+	 * @param instances the entry instances that share them
+	 * @param now the monotonic time in nanoseconds
+	 * @return whether the request may be sent
+	 */
+	public boolean tryTake(double perSecond, int instances, long now) {
+		double rate = perSecond / Math.max(1, instances);
+		this.tokens = Math.min(MOST_TOKENS, this.tokens + rate * (now - this.filledNanos) / NANOS_PER_SECOND);
+		this.filledNanos = now;
+		if (this.tokens < 1) {
+			return false;
+		}
+		this.tokens--;
+		return true;
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyPlanner.java
@@ -0,0 +1,264 @@
+package org.redwingramp.core.ownership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * Decides which keys move to which target. Stateless apart from its settings; not thread
+ * safe, since the bins it works on change while it plans.
+ */
+public final class KeyPlanner {
+
+	/**
+	 * A target below this use of its slots is left alone, in parts of 1: moving keys
+	 * costs more than the queueing that it would save.
+	 */
+	private static final double CALM_USE = 0.45;
+
+	/**
+	 * A target is overloaded if its use is this much above that of the least used one.
+	 */
+	private static final double MIN_GAP = 0.25;
+
+	/**
+	 * The part of a gap between two targets that one move closes at most. Below a half,
+	 * so that the receiver doesn't become the next source.
+	 */
+	private static final double GAP_PART = 0.5;
+
+	/** The least part of the wanted work that makes a move worthwhile. */
+	private static final double MIN_PART = 0.35;
+
+	/** The most moves planned at once. */
+	private static final int MAX_MOVES = 8;
+
+	/**
+	 * Plans where ranges without an owner go: each to the target that has least for its
+	 * capacity, large ranges in several pieces.
+	 * @param free the ranges
+	 * @param bins the targets
+	 * @param load the work of the keys
+	 * @return the placements
+	 */
+	public List<Placement> place(List<KeyRange> free, List<Bin> bins, KeyLoad load) {
+		if (bins.isEmpty()) {
+			return List.of();
+		}
+		double capacity = bins.stream().mapToDouble(Bin::capacity).sum();
+		double assigned = bins.stream().mapToDouble(Bin::weight).sum();
+		double total = assigned + free.stream().mapToDouble((range) -> weight(range, load)).sum();
+		List<Placement> placements = new ArrayList<>();
+		free.forEach((range) -> {
+			int first = range.first();
+			while (first <= range.last()) {
+				Bin bin = bins.stream().min(Comparator.comparingDouble(Bin::fill)).orElseThrow();
+				double room = Math.max(total * bin.capacity() / capacity - bin.weight(), total / capacity / 4);
+				int last = end(first, range.last(), room, load);
+				KeyRange piece = new KeyRange(first, last);
+				bin.add(weight(piece, load));
+				placements.add(new Placement(piece, bin.owner()));
+				first = last + 1;
+			}
+		});
+		return placements;
+	}
+
+	/**
+	 * Plans moves from overloaded targets to the least loaded ones.
+	 * @param bins the targets that may own keys
+	 * @param leases the leases that may move
+	 * @param load the work of the keys
+	 * @return the moves, the most useful first
+	 */
+	public List<Shift> balance(List<Bin> bins, List<RangeLease> leases, KeyLoad load) {
+		List<Shift> shifts = new ArrayList<>();
+		List<Owner> done = new ArrayList<>();
+		while (shifts.size() < MAX_MOVES) {
+			Optional<Bin> source = bins.stream()
+				.filter((bin) -> !done.contains(bin.owner()))
+				.max(Comparator.comparingDouble(Bin::use));
+			Optional<Bin> receiver = bins.stream().min(Comparator.comparingDouble(Bin::use));
+			if (source.isEmpty() || source.get().use() < CALM_USE
+					|| source.get().use() - receiver.orElseThrow().use() < MIN_GAP) {
+				break;
+			}
+			Optional<Shift> shift = shift(source.get(), receiver.get(), leases, load, shifts);
+			shift.ifPresentOrElse(shifts::add, () -> done.add(source.get().owner()));
+		}
+		return shifts;
+	}
+
+	private static Optional<Shift> shift(Bin source, Bin receiver, List<RangeLease> leases, KeyLoad load,
+			List<Shift> planned) {
+		double gap = source.use() - receiver.use();
+		double wanted = GAP_PART * gap / (source.usePerWork() + receiver.usePerWork());
+		Optional<Window> best = leases.stream()
+			.filter((lease) -> lease.range().owner().equals(source.owner()))
+			.filter((lease) -> planned.stream().noneMatch((shift) -> shift.lease() == lease))
+			.map((lease) -> Window.narrowest(lease, wanted, load))
+			.flatMap(Optional::stream)
+			.min(Comparator.comparingInt((window) -> window.keys().size()));
+		Optional<Window> window = best.filter((found) -> found.work() >= MIN_PART * wanted
+				&& receiver.use() + found.work() * receiver.usePerWork() < source.use());
+		window.ifPresent((found) -> {
+			source.work(-found.work());
+			receiver.work(found.work());
+		});
+		return window.map((found) -> new Shift(found.lease(), found.keys(), receiver.owner()));
+	}
+
+	private static int end(int first, int last, double room, KeyLoad load) {
+		double sum = 0;
+		for (int key = first; key <= last; key++) {
+			sum += weight(key, load);
+			if (sum >= room) {
+				return key;
+			}
+		}
+		return last;
+	}
+
+	// Keys without known work count a little, so that they are spread evenly too.
+	private static double weight(int key, KeyLoad load) {
+		return load.of(key) + 0.05;
+	}
+
+	/**
+	 * Returns the weight of a range for placement.
+	 * @param keys the range
+	 * @param load the work of the keys
+	 * @return the weight
+	 */
+	public static double weight(KeyRange keys, KeyLoad load) {
+		return load.of(keys) + 0.05 * keys.size();
+	}
+
+	/**
+	 * Returns the fewest neighbouring keys of a lease that carry the wanted work.
+	 */
+	private record Window(RangeLease lease, KeyRange keys, double work) {
+
+		static Optional<Window> narrowest(RangeLease lease, double wanted, KeyLoad load) {
+			KeyRange all = lease.range().keys();
+			Window best = null;
+			int first = all.first();
+			double sum = 0;
+			for (int last = all.first(); last <= all.last(); last++) {
+				sum += load.of(last);
+				while (first < last && sum - load.of(first) >= wanted) {
+					sum -= load.of(first);
+					first++;
+				}
+				boolean narrower = best == null || last - first + 1 < best.keys().size();
+				if (sum >= wanted && sum <= 2 * wanted && narrower) {
+					best = new Window(lease, new KeyRange(first, last), sum);
+				}
+			}
+			if (best == null && sum > 0 && sum < wanted) {
+				best = new Window(lease, all, load.of(all));
+			}
+			return Optional.ofNullable(best);
+		}
+
+	}
+
+	/**
+	 * A range with the target that gets it.
+	 *
+	 * @param keys the range
+	 * @param owner the target
+	 */
+	public record Placement(KeyRange keys, Owner owner) {
+	}
+
+	/**
+	 * A move of keys that have an owner.
+	 *
+	 * @param lease the lease of which they are a part
+	 * @param keys the keys
+	 * @param receiver the target that gets them
+	 */
+	public record Shift(RangeLease lease, KeyRange keys, Owner receiver) {
+	}
+
+	/**
+	 * A target with its capacity and load. Not thread safe.
+	 */
+	public static final class Bin {
+
+		private static final double MILLIS_PER_SECOND = 1000;
+
+		private final Owner owner;
+
+		private final int slots;
+
+		private final double slowness;
+
+		private double weight;
+
+		private double work;
+
+		/**
+		 * Creates a bin.
+		 * @param owner the target
+		 * @param slots its slots
+		 * @param slowness how long work takes there, 1 for the average
+		 * @param ranges its ranges
+		 * @param load the work of the keys
+		 */
+		public Bin(Owner owner, int slots, double slowness, Stream<KeyRange> ranges, KeyLoad load) {
+			this.owner = owner;
+			this.slots = slots;
+			this.slowness = slowness;
+			ranges.forEach((range) -> {
+				this.weight += KeyPlanner.weight(range, load);
+				this.work += load.of(range);
+			});
+		}
+
+		/**
+		 * Returns the target.
+		 * @return the target
+		 */
+		public Owner owner() {
+			return this.owner;
+		}
+
+		/**
+		 * Returns the part of the slots in use.
+		 * @return the use, above 1 if the target can't keep up
+		 */
+		public double use() {
+			return this.work * usePerWork();
+		}
+
+		double usePerWork() {
+			return this.slowness / this.slots / MILLIS_PER_SECOND;
+		}
+
+		double capacity() {
+			return this.slots / this.slowness;
+		}
+
+		double weight() {
+			return this.weight;
+		}
+
+		double fill() {
+			return this.weight / capacity();
+		}
+
+		void add(double more) {
+			this.weight += more;
+		}
+
+		void work(double more) {
+			this.work += more;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTiming.java
@@ -0,0 +1,32 @@
+package org.redwingramp.core.ownership;
+
+/**
+ * The timing of grants, in nanoseconds. Immutable and thread safe.
+ *
+ * @param holdNanos how long a grant holds, by the target's clock, from its arrival
+ * @param renewNanos the time between two renewals
+ * @param retryNanos the time before a call without an answer is repeated
+ * @param driftBound the largest relative error of a target's clock
+ * @param marginNanos added to the end of a lease for the delay of the network
+ */
+public record LeaseTiming(long holdNanos, long renewNanos, long retryNanos, double driftBound, long marginNanos) {
+
+	private static final long MILLISECOND = 1_000_000L;
+
+	/**
+	 * A grant outlasts a change of the control leader of up to two seconds, and the keys
+	 * of a lost target are free again within the hold. Targets' clocks may run 2% slow.
+	 */
+	public static final LeaseTiming DEFAULT = new LeaseTiming(4000 * MILLISECOND, 1200 * MILLISECOND, 300 * MILLISECOND,
+			0.02, 200 * MILLISECOND);
+
+	/**
+	 * Returns when a grant has certainly ended.
+	 * @param sentNanos when it was sent
+	 * @return the end of the lease
+	 */
+	public long endOf(long sentNanos) {
+		return sentNanos + (long) (this.holdNanos * (1 + this.driftBound)) + this.marginNanos;
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/OwnedRange.java
@@ -0,0 +1,16 @@
+package org.redwingramp.core.ownership;
+
+/**
+ * A range of keys with its owner. Immutable and thread safe.
+ *
+ * @param keys the keys
+ * @param owner the owner
+ * @param fence the fencing token, higher than that of any former owner of these keys
+ */
+public record OwnedRange(KeyRange keys, Owner owner, long fence) {
+
+	OwnedRange with(KeyRange part) {
+		return new OwnedRange(part, this.owner, this.fence);
+	}
+
+}
--- /dev/null
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/api/GrantCall.java
@@ -0,0 +1,16 @@
+package org.redwingramp.node.api;
+
+import java.util.Optional;
+
+/**
+ * A call to a target about keys. Immutable and thread safe.
+ *
+ * @param release whether the keys are taken back
+ * @param first the first key
+ * @param last the last key, inclusive
+ * @param fence the fencing token
+ * @param holdMillis how long the grant holds
+ * @param handover the token of the former holder
+ */
+public record GrantCall(boolean release, int first, int last, long fence, long holdMillis, Optional<String> handover) {
+}
--- /dev/null
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/api/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * What a platform adapter implements. The names and formats of a platform stay behind
+ * these interfaces.
+ */
+package org.redwingramp.node.api;
--- /dev/null
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlSettings.java
@@ -0,0 +1,25 @@
+package org.redwingramp.node.control;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * The settings of a control replica. Immutable and thread safe.
+ *
+ * @param instance the instance's name for the log
+ * @param name the replica's name: its IP address
+ * @param listen where targets and operators call
+ * @param peerPort the port for links between processes, the same on all instances
+ * @param seeds the IP addresses of known replicas
+ * @param founding whether the seeds may form a new group
+ * @param dataFolder the data folder
+ */
+public record ControlSettings(String instance, String name, InetSocketAddress listen, int peerPort, List<String> seeds,
+		boolean founding, Path dataFolder) {
+
+	public ControlSettings {
+		seeds = List.copyOf(seeds);
+	}
+
+}
--- /dev/null
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
@@ -0,0 +1,62 @@
+package org.redwingramp.node.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.redwingramp.node.api.GrantCall;
+import org.redwingramp.node.api.GrantReply;
+import org.redwingramp.node.link.Link;
+import org.redwingramp.node.link.LinkMessage;
+
+/**
+ * An entry instance that follows this leader. Not thread safe; it belongs to the loop's
+ * thread.
+ */
+final class EntrySession {
+
+	private final Link link;
+
+	private final String name;
+
+	private final Map<Long, Consumer<GrantReply>> relayed = new HashMap<>();
+
+	private long nextCall = 1;
+
+	long configVersion;
+
+	long targetChanges = -1;
+
+	long keyChanges = -1;
+
+	long acknowledged;
+
+	EntrySession(Link link, String name, long configVersion) {
+		this.link = link;
+		this.name = name;
+		this.configVersion = configVersion;
+	}
+
+	Link link() {
+		return this.link;
+	}
+
+	String name() {
+		return this.name;
+	}
+
+	long relay(String address, GrantCall call, Consumer<GrantReply> reply) {
+		long number = this.nextCall++;
+		this.relayed.put(number, reply);
+		this.link.send(new LinkMessage.RelayCall(number, address, call));
+		return number;
+	}
+
+	void relayed(long number, GrantReply reply) {
+		Consumer<GrantReply> waiting = this.relayed.remove(number);
+		if (waiting != null) {
+			waiting.accept(reply);
+		}
+	}
+
+}
--- /dev/null
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A control replica of a fleet.
+ */
+package org.redwingramp.node.control;
--- /dev/null
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Structured log lines.
+ */
+package org.redwingramp.node.events;
--- /dev/null
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages between the processes of a fleet.
+ */
+package org.redwingramp.node.link;
--- /dev/null
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/loop/EventLoop.java
@@ -0,0 +1,232 @@
+package org.redwingramp.node.loop;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/**
+ * Runs the handlers of sockets and timers in one thread. It sleeps until a socket is
+ * ready, a timer is due or a task is posted. All methods but {@link #post} and
+ * {@link #stop} belong to the loop's thread.
+ */
+public final class EventLoop {
+
+	private static final int READ_BUFFER_BYTES = 64 * 1024;
+
+	private static final int BACKLOG = 1024;
+
+	private static final long NANOS_PER_MILLI = 1_000_000L;
+
+	private final Selector selector;
+
+	private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+
+	private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
+
+	private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
+
+	private final Consumer<Throwable> failures;
+
+	private Runnable afterEach = () -> {
+	};
+
+	private volatile boolean stopped;
+
+	/**
+	 * Creates a loop.
+	 * @param failures is told of exceptions that a handler didn't catch
+	 * @throws IOException if no selector can be opened
+	 */
+	public EventLoop(Consumer<Throwable> failures) throws IOException {
+		this.selector = Selector.open();
+		this.failures = failures;
+	}
+
+	/**
+	 * Sets what runs after each round of events.
+	 * @param action the action
+	 */
+	public void afterEachRound(Runnable action) {
+		this.afterEach = action;
+	}
+
+	/**
+	 * Runs until the loop is stopped.
+	 * @throws IOException if the selector fails
+	 */
+	public void run() throws IOException {
+		while (!this.stopped) {
+			this.selector.select(this::ready, waitMillis());
+			runPosted();
+			runTimers();
+			guard(this.afterEach);
+		}
+		this.selector.close();
+	}
+
+	/**
+	 * Ends the loop after the current round. Thread safe.
+	 */
+	public void stop() {
+		this.stopped = true;
+		this.selector.wakeup();
+	}
+
+	/**
+	 * Runs a task in the loop's thread. Thread safe.
+	 * @param task the task
+	 */
+	public void post(Runnable task) {
+		this.posted.add(task);
+		this.selector.wakeup();
+	}
+
+	/**
+	 * Runs an action later.
+	 * @param delayNanos the delay in nanoseconds
+	 * @param action the action
+	 * @return the timer, to cancel it
+	 */
+	public Timer schedule(long delayNanos, Runnable action) {
+		Timer timer = new Timer(System.nanoTime() + Math.max(0, delayNanos), action);
+		this.timers.add(timer);
+		return timer;
+	}
+
+	/**
+	 * Runs an action again and again until the loop stops.
+	 * @param periodNanos the time between two runs in nanoseconds
+	 * @param action the action
+	 */
+	public void repeat(long periodNanos, Runnable action) {
+		schedule(periodNanos, () -> {
+			repeat(periodNanos, action);
+			action.run();
+		});
+	}
+
+	/**
+	 * Accepts connections.
+	 * @param address the address to listen on
+	 * @param handlers creates the handler of a connection
+	 * @return the listening socket
+	 * @throws IOException if the address can't be used
+	 */
+	public ServerSocketChannel listen(InetSocketAddress address, Function<TcpConnection, TcpHandler> handlers)
+			throws IOException {
+		ServerSocketChannel server = ServerSocketChannel.open();
+		server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+		server.bind(address, BACKLOG);
+		server.configureBlocking(false);
+		server.register(this.selector, SelectionKey.OP_ACCEPT, (Runnable) () -> accept(server, handlers));
+		return server;
+	}
+
+	/**
+	 * Opens a connection. The handler hears whether it was established.
+	 * @param address the address
+	 * @param handlers creates the handler of the connection
+	 * @return the connection
+	 */
+	public TcpConnection connect(InetSocketAddress address, Function<TcpConnection, TcpHandler> handlers) {
+		TcpConnection connection = new TcpConnection(this);
+		TcpHandler handler = handlers.apply(connection);
+		connection.handler(handler);
+		try {
+			SocketChannel channel = SocketChannel.open();
+			channel.configureBlocking(false);
+			channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+			boolean connected = channel.connect(address);
+			SelectionKey key = channel.register(this.selector,
+					connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, connection);
+			connection.open(channel, key, connected);
+		}
+		catch (IOException ex) {
+			schedule(0, () -> connection.fail(ex));
+		}
+		return connection;
+	}
+
+	ByteBuffer readBuffer() {
+		return this.readBuffer.clear();
+	}
+
+	private void accept(ServerSocketChannel server, Function<TcpConnection, TcpHandler> handlers) {
+		try {
+			SocketChannel channel = server.accept();
+			while (channel != null) {
+				channel.configureBlocking(false);
+				channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+				TcpConnection connection = new TcpConnection(this);
+				connection.handler(handlers.apply(connection));
+				SelectionKey key = channel.register(this.selector, SelectionKey.OP_READ, connection);
+				connection.open(channel, key, true);
+				channel = server.accept();
+			}
+		}
+		catch (IOException ex) {
+			this.failures.accept(ex);
+		}
+	}
+
+	private void ready(SelectionKey key) {
+		guard(() -> {
+			if (key.attachment() instanceof TcpConnection connection) {
+				connection.ready(key);
+			}
+			else if (key.attachment() instanceof Runnable acceptor) {
+				acceptor.run();
+			}
+		});
+	}
+
+	private void runPosted() {
+		Runnable task = this.posted.poll();
+		while (task != null) {
+			guard(task);
+			task = this.posted.poll();
+		}
+	}
+
+	private void runTimers() {
+		long now = System.nanoTime();
+		while (!this.timers.isEmpty() && this.timers.peek().due(now)) {
+			Timer timer = this.timers.poll();
+			guard(timer::run);
+		}
+	}
+
+	private long waitMillis() {
+		while (!this.timers.isEmpty() && this.timers.peek().cancelled()) {
+			this.timers.poll();
+		}
+		if (!this.posted.isEmpty()) {
+			return 1;
+		}
+		if (this.timers.isEmpty()) {
+			return 0;
+		}
+		long nanos = this.timers.peek().remainingNanos(System.nanoTime());
+		return Math.max(1, (nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI);
+	}
+
+	private void guard(Runnable action) {
+		try {
+			action.run();
+		}
+		catch (RuntimeException ex) {
+			this.failures.accept(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/loop/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * One thread that waits for sockets and timers and runs everything else.
+ */
+package org.redwingramp.node.loop;
