Give out first keys once targets have settled, and spread to empty ones

Change: the first placement waits until no target joined for 2 s; targets with almost no keys get a part of the fullest one's.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -45,6 +45,13 @@
 	/** The most ranges that may be on the move for the sake of balance. */
 	private static final int MAX_MOVING = 12;
 
+	/**
+	 * The first keys of a service are given out once no target has joined for this long,
+	 * so that the first ones to join don't get everything. Longer than a heartbeat
+	 * interval.
+	 */
+	private static final long SETTLE_NANOS = 2_000_000_000L;
+
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final FleetState state;
@@ -67,6 +74,8 @@
 
 	private long balancedNanos;
 
+	private long joinedNanos;
+
 	private long targetChanges;
 
 	private long keyChanges;
@@ -161,6 +170,7 @@
 			if (seen == null || seen.born() != record.target().born()) {
 				this.vitals.put(record.target().name(), new TargetVitals(record.target().born(), now));
 			}
+			this.joinedNanos = now;
 			this.targetChanges++;
 		}
 		else if (command instanceof ForgetTarget forget && this.state.target(forget.owner().target()).isEmpty()) {
@@ -410,7 +420,8 @@
 			return;
 		}
 		List<Bin> bins = bins(service, now, free);
-		if (bins.isEmpty()) {
+		boolean first = this.state.keys(service).ranges().isEmpty() && now - this.joinedNanos < SETTLE_NANOS;
+		if (bins.isEmpty() || first) {
 			return;
 		}
 		Set<Owner> receiving = bins.stream().map(Bin::owner).collect(Collectors.toSet());
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyPlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyPlanner.java
@@ -32,6 +32,9 @@
 	/** The least part of the wanted work that makes a move worthwhile. */
 	private static final double MIN_PART = 0.35;
 
+	/** A target with less than this part of the mean weight counts as having no keys. */
+	private static final double EMPTY_PART = 0.35;
+
 	/** The most moves planned at once. */
 	private static final int MAX_MOVES = 8;
 
@@ -88,9 +91,32 @@
 			Optional<Shift> shift = shift(source.get(), receiver.get(), leases, load, shifts);
 			shift.ifPresentOrElse(shifts::add, () -> done.add(source.get().owner()));
 		}
+		spread(bins, leases, load, shifts);
 		return shifts;
 	}
 
+	// Gives keys to targets that have almost none, for example because they just joined.
+	private static void spread(List<Bin> bins, List<RangeLease> leases, KeyLoad load, List<Shift> shifts) {
+		double mean = bins.stream().mapToDouble(Bin::fill).average().orElse(0);
+		List<Bin> empty = bins.stream().filter((bin) -> bin.fill() < EMPTY_PART * mean).toList();
+		for (Bin receiver : empty) {
+			Bin source = bins.stream().max(Comparator.comparingDouble(Bin::fill)).orElseThrow();
+			double wanted = Math.min(mean * receiver.capacity(), source.weight() / 2);
+			Optional<RangeLease> widest = leases.stream()
+				.filter((lease) -> lease.range().owner().equals(source.owner()))
+				.filter((lease) -> shifts.stream().noneMatch((shift) -> shift.lease() == lease))
+				.max(Comparator.comparingInt((lease) -> lease.range().keys().size()));
+			if (widest.isEmpty() || shifts.size() >= MAX_MOVES) {
+				return;
+			}
+			KeyRange all = widest.get().range().keys();
+			KeyRange part = new KeyRange(all.first(), end(all.first(), all.last(), wanted, load));
+			shifts.add(new Shift(widest.get(), part, receiver.owner()));
+			source.add(-weight(part, load));
+			receiver.add(weight(part, load));
+		}
+	}
+
 	private static Optional<Shift> shift(Bin source, Bin receiver, List<RangeLease> leases, KeyLoad load,
 			List<Shift> planned) {
 		double gap = source.use() - receiver.use();
