Start no second attempt of a request that waits for its key

Change: an attempt leaves the waiting list, and a view change starts none while a call is on its way.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
@@ -131,7 +131,7 @@
 	}
 
 	void retryAfterViewChange() {
-		if (!this.over) {
+		if (!this.over && this.call == null) {
 			attempt();
 		}
 	}
@@ -139,6 +139,7 @@
 	private void attempt() {
 		long now = System.nanoTime();
 		cancelNews();
+		this.node.stopWaiting(this);
 		if (remainingMillis(now) < LEAST_USEFUL_MILLIS || this.sends >= MAX_SENDS) {
 			giveUp(Refusal.OVERLOADED, 0);
 			return;
