Let calls about keys name their target, and keep a former life's keys back

Change: grants and releases name the target; an answer of another one proves that the target has ended. Keys of a former life wait for the end of its lease. Resends after 421 draw on the budget. The hold is 3 s instead of 4 s.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -92,7 +92,10 @@
 		this.output = output;
 		this.leases = new LeaseTable(timing);
 		state.targets().forEach((target) -> this.vitals.put(target.name(), new TargetVitals(target.born(), now)));
-		state.image().keys().keySet().forEach((service) -> this.leases.adopt(service, state.keys(service), now));
+		state.image().keys().keySet().forEach((service) -> {
+			this.leases.adopt(service, state.keys(service), now);
+			this.leases.embargo(service, state.keys(service).gaps(), now);
+		});
 	}
 
 	/**
@@ -167,6 +170,7 @@
 		rejected(command);
 		if (command instanceof RecordTarget record) {
 			TargetVitals seen = this.vitals.get(record.target().name());
+			embargoFormerLives(record.target(), now);
 			if (seen == null || seen.born() != record.target().born()) {
 				this.vitals.put(record.target().name(), new TargetVitals(record.target().born(), now));
 			}
@@ -188,6 +192,15 @@
 		this.keyChanges++;
 	}
 
+	private void embargoFormerLives(FleetTarget target, long now) {
+		this.leases.all()
+			.map((lease) -> lease.range().owner())
+			.filter((owner) -> owner.target().equals(target.name()) && owner.born() != target.born())
+			.distinct()
+			.toList()
+			.forEach((owner) -> this.leases.embargo(owner, now));
+	}
+
 	/**
 	 * Notes that a proposed command wasn't appended, so that it may be proposed again.
 	 * @param command the command
@@ -222,7 +235,10 @@
 	public void grantReturned(RangeLease lease, GrantOutcome outcome, long now) {
 		boolean serving = lease.serving();
 		this.leases.grantReturned(lease, outcome);
-		called(lease, outcome != GrantOutcome.UNKNOWN, now);
+		called(lease, outcome == GrantOutcome.CONFIRMED || outcome == GrantOutcome.HIGHER_FENCE_SEEN, now);
+		if (outcome == GrantOutcome.OTHER_TARGET) {
+			proposeOnce(new ForgetTarget(lease.range().owner()));
+		}
 		if (serving != lease.serving()) {
 			this.keyChanges++;
 		}
@@ -235,11 +251,15 @@
 	/**
 	 * Notes what became of a release.
 	 * @param lease the lease
-	 * @param answered whether the target answered
+	 * @param outcome the outcome
 	 * @param handover the token for the next owner
 	 * @param now the monotonic time in nanoseconds
 	 */
-	public void releaseReturned(RangeLease lease, boolean answered, Optional<String> handover, long now) {
+	public void releaseReturned(RangeLease lease, GrantOutcome outcome, Optional<String> handover, long now) {
+		boolean answered = outcome == GrantOutcome.CONFIRMED;
+		if (outcome == GrantOutcome.OTHER_TARGET) {
+			proposeOnce(new ForgetTarget(lease.range().owner()));
+		}
 		this.leases.releaseReturned(lease, answered, handover);
 		called(lease, answered, now);
 		this.output.decision("release", "service", lease.service(), "keys", text(lease.range().keys()), "target",
@@ -415,7 +435,11 @@
 			.stream()
 			.filter((lease) -> this.leases.free(lease, now) && !willBeRenewed(lease, now))
 			.toList();
-		List<KeyRange> gaps = this.state.keys(service).gaps();
+		List<KeyRange> gaps = this.state.keys(service)
+			.gaps()
+			.stream()
+			.filter((gap) -> this.leases.free(service, gap, now))
+			.toList();
 		if ((free.isEmpty() && gaps.isEmpty()) || this.proposed.contains(service)) {
 			return;
 		}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/GrantOutcome.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/GrantOutcome.java
@@ -11,6 +11,12 @@
 	/** The target has seen a higher fence on one of the keys. */
 	HIGHER_FENCE_SEEN,
 
+	/** Another target answers at the address, so the one that was meant has ended. */
+	OTHER_TARGET,
+
+	/** The connection was refused or not established, so nothing was sent. */
+	NOT_SENT,
+
 	/** No answer; the grant may take effect at any later time. */
 	UNKNOWN
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
@@ -23,6 +23,8 @@
 
 	private final Map<String, String> handovers = new HashMap<>();
 
+	private final List<Embargo> embargoes = new ArrayList<>();
+
 	private RangeLease.Phase phaseOfNew = RangeLease.Phase.TO_GRANT;
 
 	/**
@@ -46,6 +48,42 @@
 		this.phaseOfNew = RangeLease.Phase.TO_GRANT;
 	}
 
+	/**
+	 * Keeps the ranges of an owner from others until its leases have ended. A target that
+	 * started again under its name may have taken a grant meant for its former life.
+	 * @param owner the former life
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void embargo(Owner owner, long now) {
+		all().filter((lease) -> lease.range().owner().equals(owner) && !free(lease, now))
+			.forEach((lease) -> this.embargoes
+				.add(new Embargo(lease.service(), lease.range().keys(), lease.endNanos())));
+	}
+
+	/**
+	 * Keeps the ranges without an owner from all until any lease has ended. A new leader
+	 * doesn't know who held them last.
+	 * @param service the service
+	 * @param gaps the ranges
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void embargo(String service, List<KeyRange> gaps, long now) {
+		gaps.forEach((keys) -> this.embargoes.add(new Embargo(service, keys, this.timing.endOf(now))));
+	}
+
+	/**
+	 * Returns whether a range without an owner may get one.
+	 * @param service the service
+	 * @param keys the range
+	 * @param now the monotonic time in nanoseconds
+	 * @return whether no former owner can hold it
+	 */
+	public boolean free(String service, KeyRange keys, long now) {
+		this.embargoes.removeIf((embargo) -> now > embargo.endNanos());
+		return this.embargoes.stream()
+			.noneMatch((embargo) -> embargo.service().equals(service) && embargo.keys().overlaps(keys));
+	}
+
 	/**
 	 * Follows a change of the assignment.
 	 * @param service the service
@@ -139,6 +177,9 @@
 		else if (outcome == GrantOutcome.HIGHER_FENCE_SEEN) {
 			lease.refused();
 		}
+		else if (outcome == GrantOutcome.NOT_SENT) {
+			lease.notSent();
+		}
 	}
 
 	/**
@@ -230,4 +271,10 @@
 		return service + " " + keys.first() + " " + keys.last();
 	}
 
+	/**
+	 * A range that a former owner may still hold.
+	 */
+	private record Embargo(String service, KeyRange keys, long endNanos) {
+	}
+
 }
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTiming.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTiming.java
@@ -15,9 +15,10 @@
 
 	/**
 	 * A grant outlasts a change of the control leader of up to two seconds, and the keys
-	 * of a lost target are free again within the hold. Targets' clocks may run 2% slow.
+	 * of a silent target are free again after about four. Targets' clocks may run 2%
+	 * slow.
 	 */
-	public static final LeaseTiming DEFAULT = new LeaseTiming(4000 * MILLISECOND, 1200 * MILLISECOND, 300 * MILLISECOND,
+	public static final LeaseTiming DEFAULT = new LeaseTiming(3000 * MILLISECOND, 800 * MILLISECOND, 300 * MILLISECOND,
 			0.02, 200 * MILLISECOND);
 
 	/**
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
@@ -21,6 +21,8 @@
 
 	private long endNanos;
 
+	private long endBeforeCallNanos;
+
 	private boolean callInFlight;
 
 	private boolean answered;
@@ -112,9 +114,15 @@
 	void sent(long now, long end) {
 		this.lastSentNanos = now;
 		this.callInFlight = true;
+		this.endBeforeCallNanos = this.endNanos;
 		this.endNanos = Math.max(this.endNanos, end);
 	}
 
+	// The call never left, so it holds nothing.
+	void notSent() {
+		this.endNanos = this.endBeforeCallNanos;
+	}
+
 	void returned() {
 		this.callInFlight = false;
 	}
--- /dev/null
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/consensus/OpenGroupTests.java
@@ -0,0 +1,66 @@
+package org.redwingramp.core.consensus;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a group that stays short of a member because an instance of another name
+ * can't take the place of one that is gone for good, and against members that are
+ * replaced although they only restart.
+ */
+class OpenGroupTests {
+
+	private static final List<String> NO_FOUNDERS = List.of();
+
+	@Test
+	void shouldLetAnInstanceOfAnotherNameTakeThePlaceOfALostMember() {
+		for (long seed = 0; seed < 10; seed++) {
+			TestGroup group = TestGroup.open(seed, "a", "b", "c");
+			IntStream.range(0, 20).forEach((i) -> group.propose(group.leader(), "x" + i));
+			group.run(200);
+			TestNode lost = group.node(List.of("a", "b", "c").get((int) (seed % 3)));
+			group.crash(lost);
+			TestNode added = group.join("d", NO_FOUNDERS);
+			group.run(9000);
+			Membership membership = group.leader().replica.membership().orElseThrow();
+			assertThat(membership.voters()).hasSize(3).contains(added.id()).doesNotContain(lost.id());
+			assertThat(added.applied).hasSize(20);
+		}
+	}
+
+	@Test
+	void shouldKeepAMemberThatIsBackWithinSeconds() {
+		TestGroup group = TestGroup.open(1, "a", "b", "c");
+		TestNode leader = group.leader();
+		TestNode restarting = group.others(leader).get(0);
+		group.join("d", NO_FOUNDERS);
+		group.crash(restarting);
+		group.run(3000);
+		restarting.running = true;
+		group.run(4000);
+		assertThat(group.leader().replica.membership().orElseThrow().all()).contains(restarting.id()).hasSize(3);
+	}
+
+	@Test
+	void shouldNotReplaceASecondMemberWhileTheMajorityIsGone() {
+		TestGroup group = TestGroup.open(2, "a", "b", "c");
+		TestNode leader = group.leader();
+		group.others(leader).forEach(group::crash);
+		group.join("d", NO_FOUNDERS);
+		group.run(12_000);
+		assertThat(group.nodes.values()).noneMatch(group::reads);
+	}
+
+	@Test
+	void shouldNotFormAGroupOfJoiningInstancesOnly() {
+		TestGroup group = new TestGroup(3);
+		List.of("a", "b", "c").forEach((name) -> group.join(name, NO_FOUNDERS));
+		group.run(3000);
+		assertThat(group.leaders()).isEmpty();
+	}
+
+}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/consensus/TestGroup.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/consensus/TestGroup.java
@@ -59,6 +59,22 @@
 		return group;
 	}
 
+	// A group without a fixed list of names.
+	static TestGroup open(long seed, String... founders) {
+		TestGroup group = new TestGroup(seed);
+		List.of(founders).forEach((name) -> group.join(name, List.of(founders)));
+		group.run(2000);
+		return group;
+	}
+
+	TestNode join(String name, List<String> founders) {
+		TestDisk disk = new TestDisk(new ReplicaId(name, this.random.nextLong()));
+		TestNode node = new TestNode(disk, Replicas.createOpen(disk.stored(), founders, 3, ConsensusTiming.DEFAULT,
+				new Random(this.random.nextLong())));
+		this.nodes.put(name, node);
+		return node;
+	}
+
 	TestNode node(String name) {
 		return this.nodes.get(name);
 	}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/consensus/TestNode.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/consensus/TestNode.java
@@ -39,8 +39,12 @@
 	private final Deque<ReplicaEffects> waiting = new ArrayDeque<>();
 
 	TestNode(TestDisk disk, List<String> names, long seed) {
+		this(disk, Replicas.create(disk.stored(), names, ConsensusTiming.DEFAULT, new Random(seed)));
+	}
+
+	TestNode(TestDisk disk, Replica replica) {
 		this.disk = disk;
-		this.replica = Replicas.create(disk.stored(), names, ConsensusTiming.DEFAULT, new Random(seed));
+		this.replica = replica;
 	}
 
 	ReplicaId id() {
--- /dev/null
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/DispatchTests.java
@@ -0,0 +1,75 @@
+package org.redwingramp.core.dispatch;
+
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against load patterns that make an entry instance send where it shouldn't: a
+ * burst that fills a target's queue, a cold target behind many entry instances, and a
+ * target that fails.
+ */
+class DispatchTests {
+
+	private static final long MS = 1_000_000;
+
+	private final Admission admission = new Admission();
+
+	private final TargetTracker tracker = new TargetTracker(3, 100, 0);
+
+	@Test
+	void shouldRefuseTheLeastUrgentRequestsFirstInABurst() {
+		assertThat(this.admission.admits(300, 100, 500, 0)).isTrue();
+		assertThat(this.admission.admits(300, 100, 500, 2)).isFalse();
+		assertThat(this.admission.admits(100, 100, 500, 2)).isTrue();
+		assertThat(this.admission.admits(450, 100, 500, 0)).isFalse();
+	}
+
+	@Test
+	void shouldAskCallersToReturnWhenTheQueueIsWorkedOffButInTime() {
+		assertThat(this.admission.retryAfterMillis(120, 100, 900)).isEqualTo(120);
+		assertThat(this.admission.retryAfterMillis(800, 100, 900)).isEqualTo(300);
+		assertThat(this.admission.retryAfterMillis(800, 100, 110)).isEqualTo(20);
+	}
+
+	@Test
+	void shouldEstimateTheWaitFromTheQueueThatTheTargetTold() {
+		this.tracker.load(3, 6, 1000 * MS);
+		assertThat(this.tracker.waitMillis(1000 * MS)).isBetween(200.0, 260.0);
+		assertThat(this.tracker.waitMillis(1300 * MS)).isZero();
+	}
+
+	@Test
+	void shouldCountItsOwnRequestsWhenNoLoadIsKnown() {
+		IntStream.range(0, 6).forEach((i) -> this.tracker.sent());
+		assertThat(this.tracker.waitMillis(5000 * MS)).isBetween(100.0, 140.0);
+		IntStream.range(0, 6).forEach((i) -> this.tracker.ended());
+		assertThat(this.tracker.waitMillis(5000 * MS)).isZero();
+	}
+
+	@Test
+	void shouldKeepManyEntryInstancesTogetherWithinAColdTargetsRate() {
+		int instances = 10;
+		ColdRate[] rates = IntStream.range(0, instances).mapToObj((i) -> new ColdRate(0)).toArray(ColdRate[]::new);
+		long sent = 0;
+		for (long now = 0; now <= 1000 * MS; now += 5 * MS) {
+			for (ColdRate rate : rates) {
+				sent += rate.tryTake(9.9, instances, now) ? 1 : 0;
+			}
+		}
+		assertThat(sent).isLessThanOrEqualTo((long) (9.9 * 1.5 + 5));
+	}
+
+	@Test
+	void shouldAvoidATargetThatFailsAndUseItAgain() {
+		assertThat(this.tracker.failed(0)).isFalse();
+		assertThat(this.tracker.failed(0)).isTrue();
+		assertThat(this.tracker.avoided(100 * MS)).isTrue();
+		assertThat(this.tracker.avoided(400 * MS)).isFalse();
+		this.tracker.answered(80);
+		assertThat(this.tracker.failed(500 * MS)).isFalse();
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetStateTests.java
@@ -0,0 +1,110 @@
+package org.redwingramp.core.fleet;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import org.redwingramp.core.fleet.FleetCommand.AssignKeys;
+import org.redwingramp.core.fleet.FleetCommand.ForgetTarget;
+import org.redwingramp.core.fleet.FleetCommand.Move;
+import org.redwingramp.core.fleet.FleetCommand.RecordTarget;
+import org.redwingramp.core.fleet.FleetCommand.ReplaceConfig;
+import org.redwingramp.core.fleet.FleetCommand.SetDomainOut;
+import org.redwingramp.core.fleet.FleetResult.Outcome;
+import org.redwingramp.core.fleet.FleetTarget.Stage;
+import org.redwingramp.core.ownership.KeyRange;
+import org.redwingramp.core.ownership.OwnedRange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against two accepted configurations on one version, against configurations that
+ * are refused when they are sent again, and against fences that don't rise.
+ */
+class FleetStateTests {
+
+	private final FleetState state = new FleetState(FleetImage.EMPTY);
+
+	@Test
+	void shouldAcceptOneOfTwoChangesOnTheSameVersion() {
+		assertThat(replace(0, 3, "first").outcome()).isEqualTo(Outcome.ACCEPTED);
+		assertThat(replace(0, 3, "second").outcome()).isEqualTo(Outcome.WRONG_BASE);
+		assertThat(replace(0, 4, "third").outcome()).isEqualTo(Outcome.WRONG_BASE);
+		assertThat(this.state.document()).isEqualTo(bytes("first"));
+	}
+
+	@Test
+	void shouldAcknowledgeTheSameChangeAgain() {
+		replace(0, 3, "first");
+		assertThat(replace(0, 3, "first").outcome()).isEqualTo(Outcome.ALREADY_ACCEPTED);
+		replace(3, 9, "second");
+		FleetResult again = replace(0, 3, "first");
+		assertThat(again.outcome().accepted()).isTrue();
+		assertThat(again.configVersion()).isEqualTo(9);
+	}
+
+	@Test
+	void shouldRefuseAVersionThatIsNotHigher() {
+		replace(0, 3, "first");
+		assertThat(replace(3, 3, "other").outcome()).isEqualTo(Outcome.VERSION_NOT_HIGHER);
+		assertThat(replace(3, 2, "other").outcome()).isEqualTo(Outcome.VERSION_NOT_HIGHER);
+		assertThat(this.state.configVersion()).isEqualTo(3);
+	}
+
+	@Test
+	void shouldGiveEachAssignmentAHigherFence() {
+		FleetTarget first = record("t-1", 1, Stage.SERVING);
+		FleetTarget second = record("t-2", 1, Stage.SERVING);
+		this.state.apply(new AssignKeys("s", List.of(new Move(KeyRange.ALL, first.owner()))));
+		this.state.apply(new AssignKeys("s", List.of(new Move(new KeyRange(0, 9), second.owner()))));
+		this.state.apply(new AssignKeys("s", List.of(new Move(new KeyRange(0, 9), first.owner()))));
+		assertThat(this.state.keys("s").ranges()).extracting(OwnedRange::fence).containsExactly(3L, 1L);
+	}
+
+	@Test
+	void shouldFreeTheKeysOfAFormerLife() {
+		FleetTarget first = record("t-1", 1, Stage.SERVING);
+		this.state.apply(new AssignKeys("s", List.of(new Move(KeyRange.ALL, first.owner()))));
+		record("t-1", 2, Stage.SERVING);
+		assertThat(this.state.keys("s").gaps()).containsExactly(KeyRange.ALL);
+	}
+
+	@Test
+	void shouldNotAssignKeysToALifeThatIsOver() {
+		FleetTarget first = record("t-1", 1, Stage.SERVING);
+		this.state.apply(new ForgetTarget(first.owner()));
+		this.state.apply(new AssignKeys("s", List.of(new Move(KeyRange.ALL, first.owner()))));
+		assertThat(this.state.keys("s").ranges()).isEmpty();
+	}
+
+	@Test
+	void shouldBeTheSameAfterASnapshot() {
+		replace(0, 3, "first");
+		FleetTarget target = record("t-1", 1, Stage.LEFT);
+		this.state.apply(new AssignKeys("s", List.of(new Move(KeyRange.ALL, target.owner()))));
+		this.state.apply(new SetDomainOut("d", true));
+		FleetState restored = new FleetState(this.state.image());
+		assertThat(restored.accepted(3, bytes("first"))).isTrue();
+		assertThat(restored.domainsOut()).containsExactly("d");
+		assertThat(restored.target("t-1")).contains(target);
+		assertThat(restored.keys("s").ranges()).isEqualTo(this.state.keys("s").ranges());
+		restored.apply(new AssignKeys("s", List.of(new Move(KeyRange.ALL, target.owner()))));
+		assertThat(restored.keys("s").ranges()).extracting(OwnedRange::fence).containsExactly(2L);
+	}
+
+	private FleetResult replace(long base, long version, String document) {
+		return this.state.apply(new ReplaceConfig(base, version, bytes(document)));
+	}
+
+	private FleetTarget record(String name, long born, Stage stage) {
+		FleetTarget target = new FleetTarget(name, born, "s", "10.0.0.1:" + born, "d", 3, stage);
+		this.state.apply(new RecordTarget(target));
+		return target;
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/ownership/KeyPlannerTests.java
@@ -0,0 +1,105 @@
+package org.redwingramp.core.ownership;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+import org.redwingramp.core.ownership.KeyPlanner.Bin;
+import org.redwingramp.core.ownership.KeyPlanner.Placement;
+import org.redwingramp.core.ownership.KeyPlanner.Shift;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against load patterns that leave a few targets overloaded: hot neighbouring
+ * keys, slow targets, targets that join without keys.
+ */
+class KeyPlannerTests {
+
+	private static final int SLOTS = 3;
+
+	private final KeyPlanner planner = new KeyPlanner();
+
+	private final KeyLoad load = new KeyLoad(0);
+
+	private final LeaseTable leases = new LeaseTable(LeaseTiming.DEFAULT);
+
+	@Test
+	void shouldSpreadUnknownLoadEvenlyOverTargets() {
+		List<Placement> placements = this.planner.place(List.of(KeyRange.ALL), emptyBins(7), this.load);
+		assertThat(placements.stream().mapToInt((placement) -> placement.keys().size()).sum()).isEqualTo(KeyRange.KEYS);
+		assertThat(placements.stream().map(Placement::owner).distinct()).hasSize(7);
+		assertThat(placements).allMatch((placement) -> placement.keys().size() < KeyRange.KEYS / 5);
+	}
+
+	@Test
+	void shouldMoveFewKeysWhenNeighbouringKeysBecomeHot() {
+		IntStream.range(4000, 4060).forEach((key) -> this.load.add(key, 80));
+		List<Shift> shifts = balance(5);
+		assertThat(shifts).isNotEmpty();
+		assertThat(shifts).allMatch((shift) -> shift.keys().first() >= 4000 && shift.keys().last() < 4060);
+		assertThat(shifts.stream().map(Shift::receiver).distinct().count()).isEqualTo(shifts.size());
+	}
+
+	@Test
+	void shouldLeaveACalmFleetAlone() {
+		IntStream.range(0, KeyRange.KEYS).filter((key) -> key % 64 == 0).forEach((key) -> this.load.add(key, 4));
+		assertThat(balance(5)).isEmpty();
+	}
+
+	@Test
+	void shouldMoveLoadOffASlowTarget() {
+		IntStream.range(0, KeyRange.KEYS).filter((key) -> key % 64 == 0).forEach((key) -> this.load.add(key, 8));
+		List<Bin> bins = bins(5, 4);
+		List<Shift> shifts = this.planner.balance(bins, this.leases.of("s"), this.load);
+		assertThat(shifts).isNotEmpty();
+		assertThat(shifts.get(0).lease().range().owner()).isEqualTo(owner(0));
+	}
+
+	@Test
+	void shouldGiveKeysToATargetThatJoined() {
+		List<Bin> bins = Stream.concat(bins(5, 1).stream(), Stream.of(bin(9, 1, Stream.empty()))).toList();
+		List<Shift> shifts = this.planner.balance(bins, this.leases.of("s"), this.load);
+		assertThat(shifts).hasSize(1);
+		assertThat(shifts.get(0).receiver()).isEqualTo(owner(9));
+		assertThat(shifts.get(0).keys().size()).isGreaterThan(KeyRange.KEYS / 20);
+	}
+
+	@Test
+	void shouldPlaceNothingWithoutTargets() {
+		assertThat(this.planner.place(List.of(KeyRange.ALL), List.of(), this.load)).isEmpty();
+	}
+
+	private List<Shift> balance(int targets) {
+		return this.planner.balance(bins(targets, 1), this.leases.of("s"), this.load);
+	}
+
+	// Equal ranges for each target; the first one's work takes longer.
+	private List<Bin> bins(int targets, double slownessOfFirst) {
+		int size = KeyRange.KEYS / targets;
+		List<OwnedRange> ranges = IntStream.range(0, targets)
+			.mapToObj((i) -> new OwnedRange(
+					new KeyRange(i * size, (i == targets - 1) ? KeyRange.KEYS - 1 : (i + 1) * size - 1), owner(i),
+					i + 1L))
+			.toList();
+		this.leases.adopt("s", new KeyMap(ranges), 0);
+		return IntStream.range(0, targets)
+			.mapToObj((i) -> bin(i, (i == 0) ? slownessOfFirst : 1, Stream.of(ranges.get(i).keys())))
+			.toList();
+	}
+
+	private List<Bin> emptyBins(int targets) {
+		return IntStream.range(0, targets).mapToObj((i) -> bin(i, 1, Stream.empty())).toList();
+	}
+
+	private Bin bin(int number, double slowness, Stream<KeyRange> ranges) {
+		return new Bin(owner(number), SLOTS, slowness, ranges, this.load);
+	}
+
+	private static Owner owner(int number) {
+		return new Owner("t-" + number, 1);
+	}
+
+}
--- /dev/null
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
@@ -0,0 +1,108 @@
+package org.redwingramp.core.ownership;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a range that gets a new owner while a former one may still hold it.
+ */
+class LeaseTableTests {
+
+	private static final long MS = 1_000_000;
+
+	private static final long START = 50_000 * MS;
+
+	private static final Owner OWNER = new Owner("t-1", 7);
+
+	private final LeaseTable table = new LeaseTable(LeaseTiming.DEFAULT);
+
+	private final KeyMap keys = new KeyMap(List.of(new OwnedRange(KeyRange.ALL, OWNER, 1)));
+
+	@Test
+	void shouldHoldARangeForTheWholeLeaseAfterAGrantWithoutAnAnswer() {
+		RangeLease lease = follow();
+		this.table.grantSent(lease, START);
+		this.table.grantReturned(lease, GrantOutcome.UNKNOWN);
+		assertThat(this.table.free(lease, START + LeaseTiming.DEFAULT.holdNanos())).isFalse();
+		assertThat(this.table.free(lease, LeaseTiming.DEFAULT.endOf(START) + 1)).isTrue();
+	}
+
+	@Test
+	void shouldNotProlongALeaseByAGrantThatNeverLeft() {
+		RangeLease lease = follow();
+		this.table.grantSent(lease, START);
+		this.table.grantReturned(lease, GrantOutcome.CONFIRMED);
+		long later = START + 1000 * MS;
+		this.table.grantSent(lease, later);
+		this.table.grantReturned(lease, GrantOutcome.NOT_SENT);
+		assertThat(lease.endNanos()).isEqualTo(LeaseTiming.DEFAULT.endOf(START));
+	}
+
+	@Test
+	void shouldFreeAReleasedRangeAtOnce() {
+		RangeLease lease = confirmed();
+		this.table.releaseSent(lease, START + MS);
+		assertThat(this.table.free(lease, START + 2 * MS)).isFalse();
+		this.table.releaseReturned(lease, true, Optional.of("token"));
+		assertThat(this.table.free(lease, START + 2 * MS)).isTrue();
+	}
+
+	@Test
+	void shouldNotRenewARangeThatIsBeingReleased() {
+		RangeLease lease = confirmed();
+		this.table.releaseSent(lease, START + MS);
+		this.table.releaseReturned(lease, false, Optional.empty());
+		assertThat(this.table.grantDue(lease, START + 60_000 * MS)).isFalse();
+		assertThat(this.table.releaseDue(lease, START + 60_000 * MS)).isTrue();
+	}
+
+	@Test
+	void shouldPassTheHandoverToTheNextOwnerOfThePart() {
+		RangeLease part = this.table.split(confirmed(), new KeyRange(100, 199));
+		this.table.releaseSent(part, START + MS);
+		this.table.releaseReturned(part, true, Optional.of("token"));
+		this.keys.assign(new OwnedRange(new KeyRange(100, 199), new Owner("t-2", 7), 2));
+		this.table.follow("s", this.keys, START + 2 * MS);
+		assertThat(this.table.of("s")).hasSize(3);
+		RangeLease moved = this.table.of("s").get(1);
+		assertThat(moved.handover()).contains("token");
+		assertThat(moved.serving()).isFalse();
+		assertThat(this.table.of("s").get(0).serving()).isTrue();
+	}
+
+	@Test
+	void shouldTreatAdoptedRangesAsHeldForAWholeLease() {
+		this.table.adopt("s", this.keys, START);
+		RangeLease lease = this.table.of("s").get(0);
+		assertThat(lease.serving()).isTrue();
+		assertThat(this.table.grantDue(lease, START)).isTrue();
+		assertThat(this.table.free(lease, LeaseTiming.DEFAULT.endOf(START))).isFalse();
+	}
+
+	@Test
+	void shouldKeepTheRangesOfAFormerLifeFromOthersUntilItsLeaseEnds() {
+		RangeLease lease = confirmed();
+		this.table.embargo(OWNER, START + MS);
+		this.keys.remove(KeyRange.ALL);
+		this.table.follow("s", this.keys, START + MS);
+		assertThat(this.table.free("s", KeyRange.ALL, lease.endNanos())).isFalse();
+		assertThat(this.table.free("s", KeyRange.ALL, lease.endNanos() + 1)).isTrue();
+	}
+
+	private RangeLease follow() {
+		this.table.follow("s", this.keys, START);
+		return this.table.of("s").get(0);
+	}
+
+	private RangeLease confirmed() {
+		RangeLease lease = follow();
+		this.table.grantSent(lease, START);
+		this.table.grantReturned(lease, GrantOutcome.CONFIRMED);
+		return lease;
+	}
+
+}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/api/GrantReply.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/api/GrantReply.java
@@ -12,6 +12,9 @@
  */
 public record GrantReply(GrantOutcome outcome, Optional<String> handover) {
 
+	/** Nothing was sent. */
+	public static final GrantReply NOT_SENT = new GrantReply(GrantOutcome.NOT_SENT, Optional.empty());
+
 	/** No answer. */
 	public static final GrantReply UNKNOWN = new GrantReply(GrantOutcome.UNKNOWN, Optional.empty());
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -522,20 +522,19 @@
 
 		@Override
 		public void grant(RangeLease lease, FleetTarget target, Optional<String> via) {
-			GrantCall call = new GrantCall(false, lease.range().keys().first(), lease.range().keys().last(),
-					lease.range().fence(), LeaseTiming.DEFAULT.holdNanos() / MILLISECOND, lease.handover());
+			GrantCall call = new GrantCall(target.name(), false, lease.range().keys().first(),
+					lease.range().keys().last(), lease.range().fence(), LeaseTiming.DEFAULT.holdNanos() / MILLISECOND,
+					lease.handover());
 			send(target, call, via, (reply) -> running()
 				.ifPresent((controller) -> controller.grantReturned(lease, reply.outcome(), System.nanoTime())));
 		}
 
 		@Override
 		public void release(RangeLease lease, FleetTarget target, Optional<String> via) {
-			GrantCall call = new GrantCall(true, lease.range().keys().first(), lease.range().keys().last(),
-					lease.range().fence(), 0, Optional.empty());
-			send(target, call, via,
-					(reply) -> running().ifPresent((controller) -> controller.releaseReturned(lease,
-							reply.outcome() != org.redwingramp.core.ownership.GrantOutcome.UNKNOWN, reply.handover(),
-							System.nanoTime())));
+			GrantCall call = new GrantCall(target.name(), true, lease.range().keys().first(),
+					lease.range().keys().last(), lease.range().fence(), 0, Optional.empty());
+			send(target, call, via, (reply) -> running().ifPresent((controller) -> controller.releaseReturned(lease,
+					reply.outcome(), reply.handover(), System.nanoTime())));
 		}
 
 		@Override
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -110,7 +110,7 @@
 
 			@Override
 			public void failed(CallFailure failure) {
-				reply.accept(GrantReply.UNKNOWN);
+				reply.accept(failure.mayHaveRun() ? GrantReply.UNKNOWN : GrantReply.NOT_SENT);
 			}
 
 		});
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
@@ -164,7 +164,8 @@
 		}
 		String owner = this.node.view().owner(this.service, key);
 		Optional<EntryTarget> found = this.node.view().target(owner).filter((target) -> target.view().usable());
-		if (found.isEmpty()) {
+		boolean refusedTwice = this.refusedBy.indexOf(owner) != this.refusedBy.lastIndexOf(owner);
+		if (found.isEmpty() || refusedTwice) {
 			waitForOwner(now, Long.MAX_VALUE, owner);
 			return;
 		}
@@ -262,8 +263,12 @@
 		this.refusedBy.add(sender.name());
 		if (status == MISDIRECTED) {
 			this.attempts--;
-			if (this.sharded) {
-				waitForOwner(now, OWNER_NEWS_NANOS, sender.name());
+			if (!budget().tryRetry()) {
+				giveUp(Refusal.KEY_MOVING, UNKNOWN_RETRY_MILLIS);
+			}
+			else if (this.sharded) {
+				boolean first = this.refusedBy.indexOf(sender.name()) == this.refusedBy.lastIndexOf(sender.name());
+				waitForOwner(now, first ? OWNER_NEWS_NANOS : Long.MAX_VALUE, sender.name());
 			}
 			else {
 				sender.tracker().avoid(MISDIRECTED_AVOID_NANOS, now);
