--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -51,14 +51,14 @@
 	private static final long MILLISECOND = 1_000_000L;
 
 	/**
-	 * Heartbeats cost a wake-up on each replica, and a target's lease outlasts an
-	 * election, so elections may take most of a second.
+	 * Heartbeats cost a wake-up on each replica. After a loss of all replicas nothing is
+	 * served until the election is over, so it is kept short.
 	 */
-	private static final ConsensusTiming TIMING = new ConsensusTiming(100 * MILLISECOND, 500 * MILLISECOND,
-			900 * MILLISECOND, 0.02);
+	private static final ConsensusTiming TIMING = new ConsensusTiming(80 * MILLISECOND, 300 * MILLISECOND,
+			600 * MILLISECOND, 0.02);
 
 	/** The time between two ticks; a part of the heartbeat's. */
-	private static final long TICK_NANOS = 50 * MILLISECOND;
+	private static final long TICK_NANOS = 40 * MILLISECOND;
 
 	/** The voters of a group: enough to lose any one. */
 	private static final int GROUP_SIZE = 3;
