--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Election.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Election.java
@@ -1,6 +1,7 @@
 package org.redwingramp.core.consensus.internal;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 import org.redwingramp.core.consensus.Membership;
@@ -31,10 +32,16 @@
 		this.context = context;
 	}
 
+	// Each voter draws its timeout from its own part of the range, so that voters which
+	// start at the same moment rarely split the votes.
 	void restartTimer() {
 		long min = this.context.timing().minElectionNanos();
-		long max = this.context.timing().maxElectionNanos();
-		this.deadline = this.context.now() + this.context.random().nextLong(min, max + 1);
+		long span = this.context.timing().maxElectionNanos() - min;
+		List<ReplicaId> voters = this.context.membership().map(Membership::voters).orElse(List.of());
+		int parts = Math.max(1, voters.size());
+		int part = Math.max(0, voters.indexOf(this.context.id()));
+		long first = min + span * part / parts;
+		this.deadline = this.context.now() + this.context.random().nextLong(first, first + span / parts + 1);
 	}
 
 	void followLeader() {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -92,7 +92,7 @@
 		this.output = output;
 		this.leases = new LeaseTable(timing);
 		state.targets().forEach((target) -> this.vitals.put(target.name(), new TargetVitals(target.born(), now)));
-		state.image().keys().keySet().forEach((service) -> {
+		state.keyedServices().forEach((service) -> {
 			this.leases.adopt(service, state.keys(service), now);
 			this.leases.embargo(service, state.keys(service).gaps(), now);
 		});
@@ -184,10 +184,7 @@
 		else if (command instanceof FleetCommand.SetDomainOut) {
 			this.targetChanges++;
 		}
-		this.state.image()
-			.keys()
-			.keySet()
-			.forEach((service) -> this.leases.follow(service, this.state.keys(service), now));
+		this.state.keyedServices().forEach((service) -> this.leases.follow(service, this.state.keys(service), now));
 		this.receivers.keySet().removeIf((lease) -> !this.leases.current(lease));
 		this.keyChanges++;
 	}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetState.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetState.java
@@ -165,6 +165,14 @@
 		return this.keys.computeIfAbsent(service, (name) -> new KeyMap(List.of()));
 	}
 
+	/**
+	 * Returns the services that have owners of keys.
+	 * @return their names
+	 */
+	public Set<String> keyedServices() {
+		return Collections.unmodifiableSet(this.keys.keySet());
+	}
+
 	/**
 	 * Returns the whole state.
 	 * @return the state, which shares nothing with this object
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -295,7 +295,8 @@
 					replace.version(), "outcome", result.outcome(), "in-force", result.configVersion());
 			readConfig();
 		}
-		else {
+		else if (this.controller.isPresent() && !(command instanceof FleetCommand.AssignKeys)) {
+			// Assignments are logged where they are decided.
 			this.events.log(NodeEvent.COMMITTED, "command", command.getClass().getSimpleName(), "details", command);
 		}
 		this.controller.ifPresent((running) -> {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -63,8 +63,11 @@
 	/** The voters of a group: enough to lose any one. */
 	private static final int GROUP_SIZE = 3;
 
-	/** Entries after which the log is replaced by a snapshot. */
-	private static final long SNAPSHOT_ENTRIES = 1000;
+	/**
+	 * Entries after which the log is replaced by a snapshot, which a restarted process
+	 * reads faster.
+	 */
+	private static final long SNAPSHOT_ENTRIES = 200;
 
 	private final EventLoop loop;
 
