--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -52,6 +52,12 @@
 	 */
 	private static final long SETTLE_NANOS = 2_000_000_000L;
 
+	/**
+	 * A range isn't moved again sooner, in nanoseconds: each move makes its requests
+	 * wait, and the effect of the last one has to show first.
+	 */
+	private static final long SETTLED_NANOS = 1_500_000_000L;
+
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final FleetState state;
@@ -486,6 +492,7 @@
 		}
 		List<RangeLease> movable = all.stream()
 			.filter((lease) -> lease.serving() && !lease.callInFlight() && ownerReachable(lease, now))
+			.filter((lease) -> now - lease.sinceNanos() >= SETTLED_NANOS)
 			.toList();
 		List<Bin> bins = bins(service, now, List.of());
 		this.planner.balance(bins, movable, load(service, now)).forEach((shift) -> start(shift, now));
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetVitals.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetVitals.java
@@ -20,8 +20,11 @@
 	/** How recent an entry instance's answer has to be for it to pass on a call. */
 	static final long RELAY_FRESH_NANOS = 1_500_000_000L;
 
-	/** The weight of a new report in the moving average of the slowness. */
-	private static final double SLOWNESS_WEIGHT = 0.3;
+	/**
+	 * The weight of a report of an entry instance in the moving average of the slowness.
+	 * With eight instances that report four times a second it forgets in a second.
+	 */
+	private static final double SLOWNESS_WEIGHT = 0.03;
 
 	private static final double MIN_SLOWNESS = 0.4;
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyPlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyPlanner.java
@@ -16,12 +16,12 @@
 	 * A target below this use of its slots is left alone, in parts of 1: moving keys
 	 * costs more than the queueing that it would save.
 	 */
-	private static final double CALM_USE = 0.45;
+	private static final double CALM_USE = 0.55;
 
 	/**
 	 * A target is overloaded if its use is this much above that of the least used one.
 	 */
-	private static final double MIN_GAP = 0.25;
+	private static final double MIN_GAP = 0.3;
 
 	/**
 	 * The part of a gap between two targets that one move closes at most. Below a half,
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
@@ -17,6 +17,8 @@
 
 	private Optional<String> handover = Optional.empty();
 
+	private long sinceNanos;
+
 	private long lastSentNanos;
 
 	private long endNanos;
@@ -31,6 +33,7 @@
 		this.service = service;
 		this.range = range;
 		this.phase = phase;
+		this.sinceNanos = now;
 		this.lastSentNanos = now;
 		this.endNanos = endNanos;
 		this.answered = phase == Phase.HELD;
@@ -40,6 +43,7 @@
 		RangeLease part = new RangeLease(this.service, this.range.with(keys), this.phase, this.lastSentNanos,
 				this.endNanos);
 		part.answered = this.answered;
+		part.sinceNanos = this.sinceNanos;
 		return part;
 	}
 
@@ -99,6 +103,14 @@
 		return this.phase == Phase.HELD && this.answered;
 	}
 
+	/**
+	 * Returns since when the owner has the range.
+	 * @return the monotonic time in nanoseconds
+	 */
+	public long sinceNanos() {
+		return this.sinceNanos;
+	}
+
 	long lastSentNanos() {
 		return this.lastSentNanos;
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
@@ -248,7 +248,7 @@
 			this.node.answered(this.route, elapsed);
 		}
 		else {
-			sender.tracker().failed(now);
+			noteFailure(sender, "status-" + response.status(), now);
 			if (retry(sender, "status-" + response.status(), now)) {
 				return;
 			}
@@ -290,11 +290,8 @@
 	private void failed(CallFailure failure) {
 		long now = System.nanoTime();
 		EntryTarget sender = endAttempt();
-		boolean avoided = sender.tracker().failed(now);
-		if (avoided) {
-			this.node.events()
-				.log(NodeEvent.TARGET_AVOIDED, "target", sender.name(), "cause", failure.cause(), "config",
-						this.node.view().configVersion());
+		if (!failure.mayHaveRun() || !this.sharded) {
+			noteFailure(sender, failure.cause().name(), now);
 		}
 		if (failure.mayHaveRun()) {
 			this.mayHaveRun = true;
@@ -311,6 +308,20 @@
 		}
 	}
 
+	// The only owner of a key is avoided only if it can't be reached at all; a lost
+	// answer
+	// says nothing about the next one.
+	private void noteFailure(EntryTarget sender, String cause, long now) {
+		if (this.sharded && cause.startsWith("status")) {
+			return;
+		}
+		if (sender.tracker().failed(now)) {
+			this.node.events()
+				.log(NodeEvent.TARGET_AVOIDED, "target", sender.name(), "cause", cause, "config",
+						this.node.view().configVersion());
+		}
+	}
+
 	private void failed(EntryTarget sender, String cause, long now) {
 		if (!retry(sender, cause, now)) {
 			finish(Refusal.NO_ANSWER, cause);
