Test the entry instance on loopback; lose no line when the log is closed

Cause: a line that the log's writer had taken was lost when it was interrupted by the close. The test of the log found it. Change: the writer prints a line before it waits for more.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/EventWriter.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/EventWriter.java
@@ -106,14 +106,14 @@
 	private void write() {
 		while (!this.closed) {
 			try {
-				String first = this.ring.take();
+				this.output.println(this.ring.take());
 				Thread.sleep(BATCH_MILLIS);
-				this.output.println(first);
+				drain();
 			}
 			catch (InterruptedException ex) {
+				// The writer is closed, which writes what is left.
 				return;
 			}
-			drain();
 		}
 	}
 
--- /dev/null
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/PlainDialect.java
@@ -0,0 +1,104 @@
+package org.redwingramp.node.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+import org.redwingramp.core.traffic.CallerLimits;
+import org.redwingramp.core.traffic.RequestKind;
+import org.redwingramp.core.traffic.Route;
+import org.redwingramp.core.traffic.ServiceSpec;
+import org.redwingramp.core.traffic.TrafficConfig;
+import org.redwingramp.core.traffic.WeightedService;
+import org.redwingramp.node.api.ControlAnswer;
+import org.redwingramp.node.api.ControlRequest;
+import org.redwingramp.node.api.GrantCall;
+import org.redwingramp.node.api.GrantReply;
+import org.redwingramp.node.api.PlatformDialect;
+import org.redwingramp.node.api.RequestFields;
+import org.redwingramp.node.api.ResponseFields;
+import org.redwingramp.node.http.Header;
+import org.redwingramp.node.http.HttpRequest;
+import org.redwingramp.node.http.HttpResponse;
+
+/**
+ * A platform with plain names and a fixed configuration: lookups below {@code /lookup/}
+ * and bookings below {@code /book/} on the sharded service {@code s}.
+ */
+final class PlainDialect implements PlatformDialect {
+
+	static final long TIMEOUT_MILLIS = 600;
+
+	@Override
+	public RequestFields requestFields(HttpRequest request) {
+		return new RequestFields(Header.find(request.headers(), "Id"), OptionalLong.of(TIMEOUT_MILLIS),
+				Header.find(request.headers(), "Key")
+					.map((key) -> OptionalInt.of(Integer.parseInt(key)))
+					.orElse(OptionalInt.empty()),
+				"h");
+	}
+
+	@Override
+	public HttpRequest targetRequest(HttpRequest request, String target, long deadlineMillis) {
+		List<Header> headers = new ArrayList<>();
+		headers.add(new Header("Id", Header.find(request.headers(), "Id").orElse("")));
+		headers.add(new Header("Target", target));
+		return new HttpRequest(request.method(), request.target(), headers, request.body());
+	}
+
+	@Override
+	public ResponseFields responseFields(List<Header> headers) {
+		return new ResponseFields(Header.find(headers, "Id"), Header.find(headers, "Signed").isPresent(),
+				Header.find(headers, "Not-Run").isPresent(), false, Optional.empty(), OptionalLong.empty());
+	}
+
+	@Override
+	public HttpResponse callerResponse(HttpResponse response) {
+		return new HttpResponse(response.status(), List.of(), response.body());
+	}
+
+	@Override
+	public HttpResponse ownResponse(int status, String requestId, long retryAfterMillis) {
+		return HttpResponse.empty(status, new Header("Retry-Millis", Long.toString(retryAfterMillis)));
+	}
+
+	@Override
+	public HttpRequest grantRequest(GrantCall call) {
+		return new HttpRequest("POST", "/grant", List.of(), new byte[0]);
+	}
+
+	@Override
+	public GrantReply grantReply(GrantCall call, HttpResponse response) {
+		return GrantReply.UNKNOWN;
+	}
+
+	@Override
+	public ControlRequest controlRequest(HttpRequest request) {
+		return new ControlRequest.Unknown();
+	}
+
+	@Override
+	public HttpResponse controlResponse(ControlRequest call, ControlAnswer answer, HttpRequest request) {
+		return HttpResponse.empty(200);
+	}
+
+	@Override
+	public TrafficConfig config(byte[] document) {
+		return new TrafficConfig(1,
+				List.of(route("lookup", RequestKind.IDEMPOTENT), route("book", RequestKind.NON_IDEMPOTENT)),
+				List.of(new ServiceSpec("s", "/health", 10, true, 0, 0, 0)), CallerLimits.DEFAULT);
+	}
+
+	@Override
+	public boolean asksReadiness(HttpRequest request) {
+		return request.path().equals("/ready");
+	}
+
+	private static Route route(String name, RequestKind kind) {
+		return new Route(name, "h", "/" + name + "/", kind, TIMEOUT_MILLIS, 300, 0, 2,
+				List.of(new WeightedService("s", 1)));
+	}
+
+}
