--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -300,6 +300,22 @@
 		return this.keyChanges;
 	}
 
+	/**
+	 * Returns the number of leases.
+	 * @return the number of leases
+	 */
+	public long leaseCount() {
+		return this.leases.all().count();
+	}
+
+	/**
+	 * Returns the number of leases whose keys aren't served now.
+	 * @return the number of leases
+	 */
+	public long idleLeaseCount() {
+		return this.leases.all().filter((lease) -> !lease.serving()).count();
+	}
+
 	/**
 	 * Returns the targets section of the view.
 	 * @param now the monotonic time in nanoseconds
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -32,6 +32,7 @@
 import org.redwingramp.node.api.PlatformDialect;
 import org.redwingramp.node.events.EventWriter;
 import org.redwingramp.node.events.NodeEvent;
+import org.redwingramp.node.events.NodeMetrics;
 import org.redwingramp.node.http.HttpExchange;
 import org.redwingramp.node.http.HttpLimits;
 import org.redwingramp.node.http.HttpServer;
@@ -130,6 +131,7 @@
 				(tcp) -> Link.accepted(tcp, node::received, node::ended));
 		HttpServer.start(loop, settings.listen(), () -> LIMITS, node::handle);
 		node.replica.start(node::applied);
+		node.addGauges(events.metrics());
 		loop.repeat(CONTROLLER_NANOS, node::tick);
 		loop.afterEachRound(node::flush);
 		return node;
@@ -151,6 +153,16 @@
 		this.replica.learn(seeds);
 	}
 
+	private void addGauges(NodeMetrics metrics) {
+		metrics.gauge("leading", () -> this.controller.isPresent() ? 1 : 0);
+		metrics.gauge("term", () -> this.replica.term());
+		metrics.gauge("config_version", () -> this.replica.state().configVersion());
+		metrics.gauge("targets", () -> this.replica.state().targets().size());
+		metrics.gauge("entry_instances", () -> this.sessions.size());
+		metrics.gauge("leases", () -> this.controller.map(FleetController::leaseCount).orElse(0L));
+		metrics.gauge("leases_not_serving", () -> this.controller.map(FleetController::idleLeaseCount).orElse(0L));
+	}
+
 	private void tick() {
 		noticeSuspension();
 		follow();
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -260,7 +260,9 @@
 		this.writing = true;
 		this.disk.execute(() -> {
 			try {
+				long start = System.nanoTime();
 				this.store.persist(batch);
+				this.events.metrics().record("sync_millis", (System.nanoTime() - start) / MILLISECOND);
 				this.loop.post(() -> written(batch));
 			}
 			catch (StorageException ex) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -24,6 +24,7 @@
 import org.redwingramp.node.control.TargetCalls;
 import org.redwingramp.node.events.EventWriter;
 import org.redwingramp.node.events.NodeEvent;
+import org.redwingramp.node.events.NodeMetrics;
 import org.redwingramp.node.http.HttpExchange;
 import org.redwingramp.node.http.HttpLimits;
 import org.redwingramp.node.http.HttpResponse;
@@ -116,6 +117,7 @@
 		node.callers = HttpServer.start(loop, settings.listen(), node::limits, node::handle);
 		HttpServer.start(loop, settings.readiness(), node::limits, node::readiness);
 		node.control.start();
+		node.addGauges(events.metrics());
 		loop.repeat(STALE_CHECK_NANOS, node::dropStale);
 		return node;
 	}
@@ -143,6 +145,17 @@
 		awaitIdle(now + LINGER_NANOS, now + (long) (this.settings.graceNanos() * GRACE_PART));
 	}
 
+	private void addGauges(NodeMetrics metrics) {
+		metrics.gauge("requests_in_flight", () -> this.callers.inFlight());
+		metrics.gauge("caller_connections", () -> this.callers.connections());
+		metrics.gauge("config_version", () -> this.view.configVersion());
+		metrics.gauge("view_sequence", () -> this.view.sequence());
+		metrics.gauge("control_silent_millis", () -> controlSilentMillis(System.nanoTime()));
+		metrics.gauge("targets", () -> this.view.targetCount());
+		metrics.gauge("target_connections_opened", () -> this.view.connectionsOpened());
+		metrics.gauge("requests_waiting_for_owner", () -> this.waiting.size());
+	}
+
 	private void awaitIdle(long lingerUntil, long last) {
 		long now = System.nanoTime();
 		boolean idle = this.callers.inFlight() == 0;
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -106,6 +106,14 @@
 		return this.targets.values();
 	}
 
+	int targetCount() {
+		return this.targets.size();
+	}
+
+	long connectionsOpened() {
+		return this.targets.values().stream().mapToLong((target) -> target.connections().opened()).sum();
+	}
+
 	// Returns the owner's name, empty while the key changes hands.
 	String owner(String service, int key) {
 		TreeMap<Integer, ViewRange> ranges = this.keys.get(service);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
@@ -253,8 +253,8 @@
 				return;
 			}
 		}
-		finish(NodeEvent.REQUEST_ANSWERED, "answer", response.status(), this.node.dialect().callerResponse(response),
-				0);
+		finish(NodeEvent.REQUEST_ANSWERED, "answer", success ? "answered" : "target-failure",
+				this.node.dialect().callerResponse(response), 0);
 	}
 
 	// The target stated that it didn't run this request.
@@ -329,6 +329,7 @@
 	}
 
 	private boolean retry(EntryTarget sender, String cause, long now) {
+		this.node.events().metrics().count("attempt_failures", cause);
 		note(NodeEvent.ATTEMPT_FAILED, "cause", cause, now);
 		boolean useful = remainingMillis(now) > sender.tracker().serviceMillis();
 		boolean allowed = this.route.kind().repeatable() && !this.callerLeft && this.attempts < this.route.maxAttempts()
@@ -441,6 +442,8 @@
 		}
 		end();
 		long now = System.nanoTime();
+		this.node.events().metrics().count("requests", String.valueOf(value).split(" ")[0]);
+		this.node.events().metrics().record("request_millis", (now - this.exchange.receivedNanos()) / MILLISECOND);
 		this.node.events()
 			.log(event, "request", this.fields.id().orElse(""), name, value, "status", response.status(), "route",
 					(this.route != null) ? this.route.name() : "", "service", this.service, "key",
--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/EventWriter.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/EventWriter.java
@@ -36,6 +36,8 @@
 
 	private final AtomicLong dropped = new AtomicLong();
 
+	private final NodeMetrics metrics = new NodeMetrics();
+
 	private final PrintStream output;
 
 	private final String instance;
@@ -67,6 +69,7 @@
 	 * @param details names and values in turn
 	 */
 	public void log(NodeEvent event, Object... details) {
+		this.metrics.count("events", event.name());
 		if (!admit(event)) {
 			this.dropped.incrementAndGet();
 			return;
@@ -76,6 +79,15 @@
 		}
 	}
 
+	/**
+	 * Returns the metrics of this process. Each event is counted there, also when its
+	 * line is dropped.
+	 * @return the metrics
+	 */
+	public NodeMetrics metrics() {
+		return this.metrics;
+	}
+
 	@Override
 	public void close() {
 		this.closed = true;
