--- a/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/CommandOptions.java
+++ b/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/CommandOptions.java
@@ -30,6 +30,14 @@
 
 	static final String SETTINGS = "settings";
 
+	static final String REQUEST = "request";
+
+	static final String FROM = "from";
+
+	static final String TO = "to";
+
+	static final String SUMMARY = "summary";
+
 	/** The options that every subcommand takes. */
 	static final List<String> COMMON = List.of(JSON, HELP);
 
@@ -53,6 +61,10 @@
 			.addOption(value(SINCE, "n", "start after this view version"))
 			.addOption(flag(UNTIL_IN_FORCE, "end once all that is accepted now is in force everywhere"))
 			.addOption(flag(SETTINGS, "the files are settings of the daemon"))
+			.addOption(value(REQUEST, "id", "only the request with this id, and the beliefs that it was based on"))
+			.addOption(value(FROM, "ms", "only events from this wall clock time in milliseconds"))
+			.addOption(value(TO, "ms", "only events up to this wall clock time in milliseconds"))
+			.addOption(flag(SUMMARY, "count requests by second and reason"))
 			.addOption(Option.builder()
 				.longOpt(VERSION)
 				.hasArg()
--- a/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/Invocation.java
+++ b/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/Invocation.java
@@ -103,6 +103,10 @@
 			.usage("--" + option + " is \"" + value + "\"; allowed: an integer from " + minimum + " to " + maximum);
 	}
 
+	Optional<String> text(String option) {
+		return Optional.ofNullable(this.line.getOptionValue(option));
+	}
+
 	List<Endpoint> endpoints() throws CliException {
 		String[] values = this.line.getOptionValues(CommandOptions.ENDPOINT);
 		List<String> texts = (values != null) ? List.of(values)
--- a/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/Subcommand.java
+++ b/redwingramp-cli/src/main/java/org/redwingramp/cli/internal/Subcommand.java
@@ -39,7 +39,11 @@
 			ShowCommands::status),
 
 	EXPLAIN("SERVICE [KEY]", "prints where a request with that key goes and why", 1, 2, true, List.of(),
-			ShowCommands::explain);
+			ShowCommands::explain),
+
+	TRACE("[FILE...]", "prints the decisions of log files, or of standard input, in order", 0, Integer.MAX_VALUE, false,
+			List.of(CommandOptions.REQUEST, CommandOptions.FROM, CommandOptions.TO, CommandOptions.SUMMARY),
+			TraceCommand::run);
 
 	private final String arguments;
 
--- /dev/null
+++ b/redwingramp-cli/src/test/java/org/redwingramp/cli/TraceTests.java
@@ -0,0 +1,88 @@
+package org.redwingramp.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.redwingramp.cli.internal.CommandRunner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a trace that leaves out the decision which explains a failed request.
+ */
+class TraceTests {
+
+	private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+	private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+	@TempDir
+	private Path folder;
+
+	private Path entry;
+
+	private Path control;
+
+	@BeforeEach
+	void writeLogs() throws IOException {
+		this.entry = this.folder.resolve("entry.log");
+		this.control = this.folder.resolve("control.log");
+		Files.writeString(this.entry,
+				"""
+						{"event":"RWR-7106","name":"request-waits","at":5000,"instance":"e-1","request":"q1","key":70,"target":"t-1"}
+						{"event":"RWR-7102","name":"request-refused","at":5400,"instance":"e-1","request":"q1","reason":"KEY_MOVING","key":70,"target":"t-1"}
+						{"event":"RWR-7101","name":"request-answered","at":5500,"instance":"e-1","request":"q2","key":9,"target":"t-2"}
+						{"event":"RWR-71
+						""");
+		Files.writeString(this.control,
+				"""
+						12.5 core {"event":"RWR-7303","name":"controller-decision","at":4900,"instance":"c-1","decision":"move","keys":"60-80","target":"t-9"}
+						{"event":"RWR-7303","name":"controller-decision","at":4950,"instance":"c-1","decision":"move","keys":"600-800","target":"t-8"}
+						""");
+	}
+
+	@Test
+	void shouldShowTheDecisionsAboutTheKeyOfARequestInOrder() {
+		assertThat(run("trace", "--request", "q1", this.entry.toString(), this.control.toString())).isZero();
+		assertThat(output().lines()).hasSize(3);
+		assertThat(output().lines().findFirst()).hasValueSatisfying((line) -> assertThat(line).contains("60-80"));
+		assertThat(output()).contains("KEY_MOVING").doesNotContain("600-800").doesNotContain("q2");
+		assertThat(this.err.toString(StandardCharsets.UTF_8)).contains("1 lines are no events");
+	}
+
+	@Test
+	void shouldCountOutcomesBySecond() {
+		assertThat(run("trace", "--summary", this.entry.toString())).isZero();
+		assertThat(output().strip()).isEqualTo("5 request-answered=1 request-refused:KEY_MOVING=1");
+	}
+
+	@Test
+	void shouldKeepToATimeSpan() {
+		assertThat(run("trace", "--from", "5450", "--to", "5600", this.entry.toString())).isZero();
+		assertThat(output().lines()).hasSize(1);
+	}
+
+	@Test
+	void shouldTellThatARequestIsUnknown() {
+		assertThat(run("trace", "--request", "nobody", this.entry.toString())).isEqualTo(ExitCode.USAGE.code());
+		assertThat(run("trace", this.folder.resolve("missing").toString())).isEqualTo(ExitCode.USAGE.code());
+	}
+
+	private int run(String... arguments) {
+		return new CommandRunner(Map.of(), new PrintStream(this.out), new PrintStream(this.err)).run(arguments).code();
+	}
+
+	private String output() {
+		return this.out.toString(StandardCharsets.UTF_8);
+	}
+
+}
