--- a/redwingramp-node/src/main/java/org/redwingramp/node/api/PlatformDialect.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/api/PlatformDialect.java
@@ -13,6 +13,12 @@
  */
 public interface PlatformDialect {
 
+	/**
+	 * Reads and writes a sample of each message, so that the first real ones aren't
+	 * delayed by class loading.
+	 */
+	void warmUp();
+
 	/**
 	 * Reads what a caller says about its request.
 	 * @param request the request
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -31,7 +31,9 @@
 import org.redwingramp.node.http.HttpServer;
 import org.redwingramp.node.link.Link;
 import org.redwingramp.node.link.LinkMessage;
+import org.redwingramp.node.link.LinkWarmup;
 import org.redwingramp.node.loop.EventLoop;
+import org.redwingramp.wire.CodecException;
 
 /**
  * An entry instance. Not thread safe; it belongs to the loop's thread.
@@ -119,6 +121,7 @@
 		node.control.start();
 		node.addGauges(events.metrics());
 		loop.repeat(STALE_CHECK_NANOS, node::dropStale);
+		loop.schedule(0, node::warmUp);
 		return node;
 	}
 
@@ -145,6 +148,16 @@
 		awaitIdle(now + LINGER_NANOS, now + (long) (this.settings.graceNanos() * GRACE_PART));
 	}
 
+	private void warmUp() {
+		try {
+			LinkWarmup.entryMessages();
+			this.dialect.warmUp();
+		}
+		catch (CodecException ex) {
+			this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", "warm up", "reason", ex.getMessage());
+		}
+	}
+
 	private void addGauges(NodeMetrics metrics) {
 		metrics.gauge("requests_in_flight", () -> this.callers.inFlight());
 		metrics.gauge("caller_connections", () -> this.callers.connections());
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/Link.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/Link.java
@@ -17,7 +17,7 @@
  */
 public final class Link implements TcpHandler {
 
-	private static final RecordCodec<LinkMessage> CODEC = RecordCodec.of(LinkMessage.class);
+	static final RecordCodec<LinkMessage> CODEC = RecordCodec.of(LinkMessage.class);
 
 	private static final int LENGTH_BYTES = Integer.BYTES;
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/PlainDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/PlainDialect.java
@@ -31,6 +31,10 @@
 
 	static final long TIMEOUT_MILLIS = 600;
 
+	@Override
+	public void warmUp() {
+	}
+
 	@Override
 	public RequestFields requestFields(HttpRequest request) {
 		return new RequestFields(Header.find(request.headers(), "Id"), OptionalLong.of(TIMEOUT_MILLIS),
