--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -38,10 +38,8 @@
 import org.redwingramp.node.http.HttpServer;
 import org.redwingramp.node.link.Link;
 import org.redwingramp.node.link.LinkMessage;
-import org.redwingramp.node.link.LinkWarmup;
 import org.redwingramp.node.loop.EventLoop;
 import org.redwingramp.storage.StorageException;
-import org.redwingramp.wire.CodecException;
 
 /**
  * A control replica: answers targets and operators, and while it leads runs the
@@ -135,7 +133,6 @@
 		node.replica.start(node::applied);
 		node.addGauges(events.metrics());
 		loop.repeat(CONTROLLER_NANOS, node::tick);
-		loop.schedule(0, node::warmUp);
 		loop.afterEachRound(node::flush);
 		return node;
 	}
@@ -156,17 +153,6 @@
 		this.replica.learn(seeds);
 	}
 
-	private void warmUp() {
-		try {
-			LinkWarmup.controlMessages();
-			LinkWarmup.entryMessages();
-			this.dialect.warmUp();
-		}
-		catch (CodecException ex) {
-			this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", "warm up", "reason", ex.getMessage());
-		}
-	}
-
 	private void addGauges(NodeMetrics metrics) {
 		metrics.gauge("leading", () -> this.controller.isPresent() ? 1 : 0);
 		metrics.gauge("term", () -> this.replica.term());
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
@@ -4,41 +4,21 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.redwingramp.core.consensus.LogEntry;
-import org.redwingramp.core.consensus.PeerMessage;
-import org.redwingramp.core.consensus.ReplicaId;
 import org.redwingramp.core.fleet.EntryReport;
 import org.redwingramp.core.fleet.FleetView;
 import org.redwingramp.wire.CodecException;
 
 /**
- * Passes a message of each kind through the codec once. A process that has just started
- * does this while it waits, so that its first real messages aren't delayed by class
- * loading. Stateless and thread safe.
+ * Passes the messages of an entry instance through the codec once. It does this after its
+ * start, while it waits for a leader, so that its first view isn't delayed by class
+ * loading. A control replica has no such idle time: the same step delayed its election.
+ * Stateless and thread safe.
  */
 public final class LinkWarmup {
 
 	private LinkWarmup() {
 	}
 
-	/**
-	 * Encodes and decodes the messages between control replicas.
-	 * @throws CodecException if a message can't be read back, which is a fault of the
-	 * program
-	 */
-	public static void controlMessages() throws CodecException {
-		ReplicaId id = new ReplicaId("warmup", 1);
-		LogEntry entry = new LogEntry(1, 1, LogEntry.Kind.NO_OP, 0, new byte[0]);
-		List<PeerMessage> messages = List.of(new PeerMessage.PreVoteRequest(1, "", 0, 0),
-				new PeerMessage.PreVoteReply(1, true), new PeerMessage.VoteRequest(1, "", 0, 0),
-				new PeerMessage.VoteReply(1, true), new PeerMessage.AppendRequest(1, "", 0, 0, 0, 0, List.of(entry)),
-				new PeerMessage.AppendReply(1, 0, true, 0));
-		roundTrip(new LinkMessage.ReplicaHello(id, true));
-		for (PeerMessage message : messages) {
-			roundTrip(new LinkMessage.Consensus(id, message));
-		}
-	}
-
 	/**
 	 * Encodes and decodes the messages between control replicas and entry instances.
 	 * @throws CodecException if a message can't be read back, which is a fault of the
