--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -54,11 +54,11 @@
 	 * Heartbeats cost a wake-up on each replica. After a loss of all replicas nothing is
 	 * served until the election is over, so it is kept short.
 	 */
-	private static final ConsensusTiming TIMING = new ConsensusTiming(60 * MILLISECOND, 220 * MILLISECOND,
-			520 * MILLISECOND, 0.02);
+	private static final ConsensusTiming TIMING = new ConsensusTiming(80 * MILLISECOND, 300 * MILLISECOND,
+			600 * MILLISECOND, 0.02);
 
 	/** The time between two ticks; a part of the heartbeat's. */
-	private static final long TICK_NANOS = 30 * MILLISECOND;
+	private static final long TICK_NANOS = 40 * MILLISECOND;
 
 	/** The voters of a group: enough to lose any one. */
 	private static final int GROUP_SIZE = 3;
