--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/TargetTracker.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/TargetTracker.java
@@ -12,6 +12,9 @@
 	 */
 	private static final long LOAD_FRESH_NANOS = 600_000_000L;
 
+	/** Until then a load is taken as it was told. */
+	private static final long LOAD_HOLDS_NANOS = 250_000_000L;
+
 	/** The weight of a new answer in the moving average of the service time. */
 	private static final double SERVICE_WEIGHT = 0.15;
 
@@ -23,8 +26,6 @@
 
 	private static final int MAX_AVOID_DOUBLINGS = 3;
 
-	private static final double NANOS_PER_MILLI = 1e6;
-
 	private final int slots;
 
 	private double serviceMillis;
@@ -162,14 +163,13 @@
 		return Math.max(0, Math.max(known(now), this.inFlight) - this.slots + 1);
 	}
 
-	// What was told loses its weight with age, since the target works on meanwhile.
+	// What was told holds for a while, since other entry instances send as much as the
+	// target works off, and then fades.
 	private double known(long now) {
 		long age = now - this.loadNanos;
-		if (age >= LOAD_FRESH_NANOS) {
-			return 0;
-		}
-		double done = age / NANOS_PER_MILLI / Math.max(1, this.serviceMillis) * this.slots;
-		return Math.max(0, this.running + this.waiting + this.sentSinceLoad - done);
+		double faded = (age - LOAD_HOLDS_NANOS) / (double) (LOAD_FRESH_NANOS - LOAD_HOLDS_NANOS);
+		double part = Math.max(0, Math.min(1, 1 - faded));
+		return part * (this.running + this.waiting + this.sentSinceLoad);
 	}
 
 }
