Move several parts of an overloaded target's range in one round

Change: the planner works on pieces, whose rest may move in the same round; the controller finds the lease of each part.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -26,6 +26,7 @@
 import org.redwingramp.core.ownership.KeyRange;
 import org.redwingramp.core.ownership.LeaseTable;
 import org.redwingramp.core.ownership.LeaseTiming;
+import org.redwingramp.core.ownership.OwnedRange;
 import org.redwingramp.core.ownership.Owner;
 import org.redwingramp.core.ownership.RangeLease;
 import org.redwingramp.core.ownership.RangeLease.Phase;
@@ -506,12 +507,13 @@
 		if (moving >= MAX_MOVING) {
 			return;
 		}
-		List<RangeLease> movable = all.stream()
+		List<OwnedRange> movable = all.stream()
 			.filter((lease) -> lease.serving() && !lease.callInFlight() && ownerReachable(lease, now))
 			.filter((lease) -> now - lease.sinceNanos() >= SETTLED_NANOS)
+			.map(RangeLease::range)
 			.toList();
 		List<Bin> bins = bins(service, now, List.of());
-		this.planner.balance(bins, movable, load(service, now)).forEach((shift) -> start(shift, now));
+		this.planner.balance(bins, movable, load(service, now)).forEach((shift) -> start(service, shift, now));
 	}
 
 	private boolean ownerReachable(RangeLease lease, long now) {
@@ -520,16 +522,18 @@
 			.isPresent();
 	}
 
-	private void start(Shift shift, long now) {
-		if (!this.leases.current(shift.lease())) {
+	private void start(String service, Shift shift, long now) {
+		Optional<RangeLease> whole = this.leases.find(service, shift.keys())
+			.filter((lease) -> lease.range().owner().equals(shift.owner()));
+		Optional<FleetTarget> owner = this.state.target(shift.owner());
+		if (whole.isEmpty() || owner.isEmpty()) {
 			return;
 		}
-		RangeLease part = this.leases.split(shift.lease(), shift.keys());
+		RangeLease part = this.leases.split(whole.get(), shift.keys());
 		this.receivers.put(part, shift.receiver());
-		this.output.decision("move", "service", part.service(), "keys", text(shift.keys()), "target",
-				part.range().owner().target(), "receiver", shift.receiver().target(), "slowness",
-				this.vitals.get(part.range().owner().target()).slowness());
-		this.state.target(part.range().owner()).ifPresent((target) -> release(part, target, now));
+		this.output.decision("move", "service", service, "keys", text(shift.keys()), "target", shift.owner().target(),
+				"receiver", shift.receiver().target(), "slowness", this.vitals.get(shift.owner().target()).slowness());
+		release(part, owner.get(), now);
 	}
 
 	private List<Bin> bins(String service, long now, List<RangeLease> without) {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyPlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyPlanner.java
@@ -72,11 +72,12 @@
 	/**
 	 * Plans moves from overloaded targets to the least loaded ones.
 	 * @param bins the targets that may own keys
-	 * @param leases the leases that may move
+	 * @param ranges the ranges that may move, whole or in parts
 	 * @param load the work of the keys
 	 * @return the moves, the most useful first
 	 */
-	public List<Shift> balance(List<Bin> bins, List<RangeLease> leases, KeyLoad load) {
+	public List<Shift> balance(List<Bin> bins, List<OwnedRange> ranges, KeyLoad load) {
+		List<OwnedRange> pieces = new ArrayList<>(ranges);
 		List<Shift> shifts = new ArrayList<>();
 		List<Owner> done = new ArrayList<>();
 		while (shifts.size() < MAX_MOVES) {
@@ -88,52 +89,63 @@
 					|| source.get().use() - receiver.orElseThrow().use() < MIN_GAP) {
 				break;
 			}
-			Optional<Shift> shift = shift(source.get(), receiver.get(), leases, load, shifts);
+			Optional<Shift> shift = shift(source.get(), receiver.get(), pieces, load);
 			shift.ifPresentOrElse(shifts::add, () -> done.add(source.get().owner()));
 		}
-		spread(bins, leases, load, shifts);
+		spread(bins, pieces, load, shifts);
 		return shifts;
 	}
 
 	// Gives keys to targets that have almost none, for example because they just joined.
-	private static void spread(List<Bin> bins, List<RangeLease> leases, KeyLoad load, List<Shift> shifts) {
+	private static void spread(List<Bin> bins, List<OwnedRange> pieces, KeyLoad load, List<Shift> shifts) {
 		double mean = bins.stream().mapToDouble(Bin::fill).average().orElse(0);
 		List<Bin> empty = bins.stream().filter((bin) -> bin.fill() < EMPTY_PART * mean).toList();
 		for (Bin receiver : empty) {
 			Bin source = bins.stream().max(Comparator.comparingDouble(Bin::fill)).orElseThrow();
 			double wanted = Math.min(mean * receiver.capacity(), source.weight() / 2);
-			Optional<RangeLease> widest = leases.stream()
-				.filter((lease) -> lease.range().owner().equals(source.owner()))
-				.filter((lease) -> shifts.stream().noneMatch((shift) -> shift.lease() == lease))
-				.max(Comparator.comparingInt((lease) -> lease.range().keys().size()));
+			Optional<OwnedRange> widest = pieces.stream()
+				.filter((piece) -> piece.owner().equals(source.owner()))
+				.max(Comparator.comparingInt((piece) -> piece.keys().size()));
 			if (widest.isEmpty() || shifts.size() >= MAX_MOVES) {
 				return;
 			}
-			KeyRange all = widest.get().range().keys();
+			KeyRange all = widest.get().keys();
 			KeyRange part = new KeyRange(all.first(), end(all.first(), all.last(), wanted, load));
-			shifts.add(new Shift(widest.get(), part, receiver.owner()));
+			take(pieces, widest.get(), part);
+			shifts.add(new Shift(part, source.owner(), receiver.owner()));
 			source.add(-weight(part, load));
 			receiver.add(weight(part, load));
 		}
 	}
 
-	private static Optional<Shift> shift(Bin source, Bin receiver, List<RangeLease> leases, KeyLoad load,
-			List<Shift> planned) {
+	private static Optional<Shift> shift(Bin source, Bin receiver, List<OwnedRange> pieces, KeyLoad load) {
 		double gap = source.use() - receiver.use();
 		double wanted = GAP_PART * gap / (source.usePerWork() + receiver.usePerWork());
-		Optional<Window> best = leases.stream()
-			.filter((lease) -> lease.range().owner().equals(source.owner()))
-			.filter((lease) -> planned.stream().noneMatch((shift) -> shift.lease() == lease))
-			.map((lease) -> Window.narrowest(lease, wanted, load))
+		Optional<Window> best = pieces.stream()
+			.filter((piece) -> piece.owner().equals(source.owner()))
+			.map((piece) -> Window.narrowest(piece, wanted, load))
 			.flatMap(Optional::stream)
 			.min(Comparator.comparingInt((window) -> window.keys().size()));
 		Optional<Window> window = best.filter((found) -> found.work() >= MIN_PART * wanted
 				&& receiver.use() + found.work() * receiver.usePerWork() < source.use());
 		window.ifPresent((found) -> {
+			take(pieces, found.piece(), found.keys());
 			source.work(-found.work());
 			receiver.work(found.work());
 		});
-		return window.map((found) -> new Shift(found.lease(), found.keys(), receiver.owner()));
+		return window.map((found) -> new Shift(found.keys(), source.owner(), receiver.owner()));
+	}
+
+	// The rest of a piece may still move in the same round.
+	private static void take(List<OwnedRange> pieces, OwnedRange piece, KeyRange part) {
+		pieces.remove(piece);
+		KeyRange all = piece.keys();
+		if (all.first() < part.first()) {
+			pieces.add(piece.with(new KeyRange(all.first(), part.first() - 1)));
+		}
+		if (all.last() > part.last()) {
+			pieces.add(piece.with(new KeyRange(part.last() + 1, all.last())));
+		}
 	}
 
 	private static int end(int first, int last, double room, KeyLoad load) {
@@ -163,12 +175,12 @@
 	}
 
 	/**
-	 * Returns the fewest neighbouring keys of a lease that carry the wanted work.
+	 * The fewest neighbouring keys of a piece that carry the wanted work.
 	 */
-	private record Window(RangeLease lease, KeyRange keys, double work) {
+	private record Window(OwnedRange piece, KeyRange keys, double work) {
 
-		static Optional<Window> narrowest(RangeLease lease, double wanted, KeyLoad load) {
-			KeyRange all = lease.range().keys();
+		static Optional<Window> narrowest(OwnedRange piece, double wanted, KeyLoad load) {
+			KeyRange all = piece.keys();
 			Window best = null;
 			int first = all.first();
 			double sum = 0;
@@ -180,11 +192,11 @@
 				}
 				boolean narrower = best == null || last - first + 1 < best.keys().size();
 				if (sum >= wanted && sum <= 2 * wanted && narrower) {
-					best = new Window(lease, new KeyRange(first, last), sum);
+					best = new Window(piece, new KeyRange(first, last), sum);
 				}
 			}
 			if (best == null && sum > 0 && sum < wanted) {
-				best = new Window(lease, all, load.of(all));
+				best = new Window(piece, all, load.of(all));
 			}
 			return Optional.ofNullable(best);
 		}
@@ -203,11 +215,11 @@
 	/**
 	 * A move of keys that have an owner.
 	 *
-	 * @param lease the lease of which they are a part
-	 * @param keys the keys
+	 * @param keys the keys, which lie in one range of their owner
+	 * @param owner the target that has them
 	 * @param receiver the target that gets them
 	 */
-	public record Shift(RangeLease lease, KeyRange keys, Owner receiver) {
+	public record Shift(KeyRange keys, Owner owner, Owner receiver) {
 	}
 
 	/**
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
@@ -119,6 +119,19 @@
 		return List.copyOf(this.byService.getOrDefault(service, new TreeMap<>()).values());
 	}
 
+	/**
+	 * Finds the lease that holds a whole range.
+	 * @param service the service
+	 * @param keys the range
+	 * @return the lease, or empty if the range belongs to several or to none
+	 */
+	public Optional<RangeLease> find(String service, KeyRange keys) {
+		return Optional.ofNullable(this.byService.get(service))
+			.map((leases) -> leases.floorEntry(keys.first()))
+			.map(Map.Entry::getValue)
+			.filter((lease) -> lease.range().keys().last() >= keys.last());
+	}
+
 	/**
 	 * Returns whether the lease is still the current one of its range.
 	 * @param lease the lease
--- a/redwingramp-core/src/test/java/org/redwingramp/core/ownership/KeyPlannerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/ownership/KeyPlannerTests.java
@@ -24,7 +24,7 @@
 
 	private final KeyLoad load = new KeyLoad(0);
 
-	private final LeaseTable leases = new LeaseTable(LeaseTiming.DEFAULT);
+	private List<OwnedRange> ranges = List.of();
 
 	@Test
 	void shouldSpreadUnknownLoadEvenlyOverTargets() {
@@ -43,6 +43,15 @@
 		assertThat(shifts.stream().map(Shift::receiver).distinct().count()).isEqualTo(shifts.size());
 	}
 
+	/** One move a round left a target overloaded for seconds. */
+	@Test
+	void shouldSpreadAHotRangeOverSeveralTargetsInOneRound() {
+		IntStream.range(4000, 4060).forEach((key) -> this.load.add(key, 300));
+		List<Shift> shifts = balance(8);
+		assertThat(shifts).hasSizeGreaterThanOrEqualTo(3).allMatch((shift) -> shift.owner().equals(owner(0)));
+		assertThat(shifts.stream().map(Shift::receiver).distinct().count()).isGreaterThanOrEqualTo(3);
+	}
+
 	@Test
 	void shouldLeaveACalmFleetAlone() {
 		IntStream.range(0, KeyRange.KEYS).filter((key) -> key % 64 == 0).forEach((key) -> this.load.add(key, 4));
@@ -53,15 +62,15 @@
 	void shouldMoveLoadOffASlowTarget() {
 		IntStream.range(0, KeyRange.KEYS).filter((key) -> key % 64 == 0).forEach((key) -> this.load.add(key, 8));
 		List<Bin> bins = bins(5, 4);
-		List<Shift> shifts = this.planner.balance(bins, this.leases.of("s"), this.load);
+		List<Shift> shifts = this.planner.balance(bins, this.ranges, this.load);
 		assertThat(shifts).isNotEmpty();
-		assertThat(shifts.get(0).lease().range().owner()).isEqualTo(owner(0));
+		assertThat(shifts.get(0).owner()).isEqualTo(owner(0));
 	}
 
 	@Test
 	void shouldGiveKeysToATargetThatJoined() {
 		List<Bin> bins = Stream.concat(bins(5, 1).stream(), Stream.of(bin(9, 1, Stream.empty()))).toList();
-		List<Shift> shifts = this.planner.balance(bins, this.leases.of("s"), this.load);
+		List<Shift> shifts = this.planner.balance(bins, this.ranges, this.load);
 		assertThat(shifts).hasSize(1);
 		assertThat(shifts.get(0).receiver()).isEqualTo(owner(9));
 		assertThat(shifts.get(0).keys().size()).isGreaterThan(KeyRange.KEYS / 20);
@@ -73,20 +82,19 @@
 	}
 
 	private List<Shift> balance(int targets) {
-		return this.planner.balance(bins(targets, 1), this.leases.of("s"), this.load);
+		return this.planner.balance(bins(targets, 1), this.ranges, this.load);
 	}
 
 	// Equal ranges for each target; the first one's work takes longer.
 	private List<Bin> bins(int targets, double slownessOfFirst) {
 		int size = KeyRange.KEYS / targets;
-		List<OwnedRange> ranges = IntStream.range(0, targets)
+		this.ranges = IntStream.range(0, targets)
 			.mapToObj((i) -> new OwnedRange(
 					new KeyRange(i * size, (i == targets - 1) ? KeyRange.KEYS - 1 : (i + 1) * size - 1), owner(i),
 					i + 1L))
 			.toList();
-		this.leases.adopt("s", new KeyMap(ranges), 0);
 		return IntStream.range(0, targets)
-			.mapToObj((i) -> bin(i, (i == 0) ? slownessOfFirst : 1, Stream.of(ranges.get(i).keys())))
+			.mapToObj((i) -> bin(i, (i == 0) ? slownessOfFirst : 1, Stream.of(this.ranges.get(i).keys())))
 			.toList();
 	}
 
