Lose what isn't synced in a test of the file layer

Cause: a trial that removed the two force calls of DiskFiles left the tests of the storage module green, since their files are kept in memory. A refused request without a route no longer logs a meaningless time left.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
@@ -97,6 +97,7 @@
 	RequestRun(EntryNode node, HttpExchange exchange) {
 		this.node = node;
 		this.exchange = exchange;
+		this.finalNanos = exchange.receivedNanos();
 	}
 
 	void start() {
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/DiskFiles.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/DiskFiles.java
@@ -8,6 +8,7 @@
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
+import java.nio.file.OpenOption;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
@@ -19,6 +20,17 @@
  */
 public final class DiskFiles implements StoreFiles {
 
+	private final ChannelOpener channels;
+
+	/** Creates operations on the files of the system. */
+	public DiskFiles() {
+		this(FileChannel::open);
+	}
+
+	DiskFiles(ChannelOpener channels) {
+		this.channels = channels;
+	}
+
 	@Override
 	public List<String> list(Path folder) throws IOException {
 		try (Stream<Path> files = Files.list(folder)) {
@@ -35,7 +47,7 @@
 
 	@Override
 	public Output write(Path file) throws IOException {
-		return new ChannelOutput(FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE));
+		return new ChannelOutput(this.channels.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE));
 	}
 
 	@Override
@@ -61,14 +73,14 @@
 
 	@Override
 	public void syncFolder(Path folder) throws IOException {
-		try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+		try (FileChannel channel = this.channels.open(folder, StandardOpenOption.READ)) {
 			channel.force(true);
 		}
 	}
 
 	@Override
 	public Closeable lock(Path file) throws IOException {
-		FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+		FileChannel channel = this.channels.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
 		try {
 			FileLock lock = channel.tryLock();
 			if (lock != null) {
@@ -82,6 +94,14 @@
 		return null;
 	}
 
+	/** Opens channels, so that a test can lose what isn't synced. */
+	@FunctionalInterface
+	interface ChannelOpener {
+
+		FileChannel open(Path path, OpenOption... options) throws IOException;
+
+	}
+
 	private record ChannelOutput(FileChannel channel) implements Output {
 
 		@Override
