Close all sockets when an event loop ends; test control replicas on loopback

Cause: an event loop that ended kept its listening sockets, so a replica could not start again in the same process. The new test of a stop of all replicas found it. Change: the loop closes what is registered with it. Five tests run real control replicas with disks on loopback: formation, one winner on a version, all stopped, a member replaced by an empty instance at another address, no majority.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/loop/EventLoop.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/loop/EventLoop.java
@@ -61,7 +61,7 @@
 	}
 
 	/**
-	 * Runs until the loop is stopped.
+	 * Runs until the loop is stopped, then closes all sockets.
 	 * @throws IOException if the selector fails
 	 */
 	public void run() throws IOException {
@@ -71,6 +71,9 @@
 			runTimers();
 			guard(this.afterEach);
 		}
+		for (SelectionKey key : this.selector.keys()) {
+			key.channel().close();
+		}
 		this.selector.close();
 	}
 
--- /dev/null
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
@@ -0,0 +1,105 @@
+package org.redwingramp.node.control;
+
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against acknowledged changes that are lost or shown older, and against two
+ * accepted changes on one version, while replicas are stopped, wiped and replaced.
+ */
+@Timeout(120)
+class ControlNodeTests {
+
+	private static final String FIRST = "127.0.0.11";
+
+	private static final String SECOND = "127.0.0.12";
+
+	private static final String THIRD = "127.0.0.13";
+
+	private static final String ADDED = "127.0.0.14";
+
+	@TempDir
+	private Path folder;
+
+	@Test
+	void shouldFormFromTheSeedsAndAnswerOnlyThroughTheLeader() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
+			assertThat(control.call("replace 0 5 one")).startsWith("ACCEPTED");
+			assertThat(control.call("read")).isEqualTo("DOCUMENT replace 0 5 one");
+			long leaders = java.util.stream.Stream.of(FIRST, SECOND, THIRD)
+				.filter((name) -> answersItself(control, name))
+				.count();
+			assertThat(leaders).isEqualTo(1);
+		}
+	}
+
+	@Test
+	void shouldAcceptOneChangeOnAVersionAndAcknowledgeItAgain() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
+			assertThat(control.call("replace 0 5 one")).startsWith("ACCEPTED");
+			assertThat(control.call("replace 0 5 two")).startsWith("WRONG_VERSION");
+			assertThat(control.call("replace 0 5 one")).startsWith("ACCEPTED");
+			assertThat(control.call("replace 5 5 three")).startsWith("INVALID");
+			assertThat(control.call("replace 5 9 broken")).startsWith("INVALID");
+			assertThat(control.call("read")).isEqualTo("DOCUMENT replace 0 5 one");
+		}
+	}
+
+	@Test
+	void shouldKeepWhatWasAcknowledgedWhenAllReplicasAreStopped() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
+			control.call("replace 0 5 one");
+			control.call("out d");
+			control.stopAll();
+			for (String name : new String[] { FIRST, SECOND, THIRD }) {
+				control.start(name, false);
+			}
+			assertThat(control.call("read")).isEqualTo("DOCUMENT replace 0 5 one");
+			assertThat(control.call("replace 5 6 two")).startsWith("ACCEPTED");
+		}
+	}
+
+	@Test
+	void shouldLetAnEmptyInstanceAtAnotherAddressTakeThePlaceOfALostOne() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
+			control.call("replace 0 5 one");
+			control.stop(THIRD);
+			control.start(ADDED, false);
+			assertThat(control.call("replace 5 6 two")).startsWith("ACCEPTED");
+			for (int i = 0; i < 200
+					&& !control.log.toString().contains("\"instance\":\"" + ADDED + "\",\"role\":\"FOLLOWER\""); i++) {
+				Thread.sleep(100);
+			}
+			control.stop(SECOND);
+			assertThat(control.call("read")).isEqualTo("DOCUMENT replace 5 6 two");
+		}
+	}
+
+	@Test
+	void shouldNotAnswerWithoutAMajority() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
+			control.call("replace 0 5 one");
+			control.stop(SECOND);
+			control.stop(THIRD);
+			Thread.sleep(1500);
+			assertThat(control.callOnce(FIRST, "read")).startsWith("UNAVAILABLE");
+			assertThat(control.callOnce(FIRST, "replace 5 6 two")).startsWith("UNAVAILABLE");
+		}
+	}
+
+	private static boolean answersItself(ControlFixture control, String name) {
+		try {
+			return control.callOnce(name, "beat t-1").startsWith("ACCEPTED");
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+}
--- /dev/null
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
@@ -0,0 +1,106 @@
+package org.redwingramp.node.control;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+import org.redwingramp.core.fleet.FleetTarget;
+import org.redwingramp.core.fleet.TargetHeartbeat;
+import org.redwingramp.core.traffic.CallerLimits;
+import org.redwingramp.core.traffic.TrafficConfig;
+import org.redwingramp.node.api.ControlAnswer;
+import org.redwingramp.node.api.ControlRequest;
+import org.redwingramp.node.api.GrantCall;
+import org.redwingramp.node.api.GrantReply;
+import org.redwingramp.node.api.InvalidDocumentException;
+import org.redwingramp.node.api.PlatformDialect;
+import org.redwingramp.node.api.RequestFields;
+import org.redwingramp.node.api.ResponseFields;
+import org.redwingramp.node.http.Header;
+import org.redwingramp.node.http.HttpRequest;
+import org.redwingramp.node.http.HttpResponse;
+
+/**
+ * Calls to control replicas as lines of words: {@code replace BASE VERSION TEXT},
+ * {@code read}, {@code out DOMAIN}, {@code beat NAME}.
+ */
+final class TextDialect implements PlatformDialect {
+
+	@Override
+	public void warmUp() {
+	}
+
+	@Override
+	public RequestFields requestFields(HttpRequest request) {
+		return new RequestFields(Optional.empty(), OptionalLong.empty(), OptionalInt.empty(), "");
+	}
+
+	@Override
+	public HttpRequest targetRequest(HttpRequest request, String target, long deadlineMillis) {
+		return request;
+	}
+
+	@Override
+	public ResponseFields responseFields(List<Header> headers) {
+		return new ResponseFields(Optional.empty(), false, false, false, Optional.empty(), OptionalLong.empty());
+	}
+
+	@Override
+	public HttpResponse callerResponse(HttpResponse response) {
+		return response;
+	}
+
+	@Override
+	public HttpResponse ownResponse(int status, String requestId, long retryAfterMillis) {
+		return HttpResponse.empty(status);
+	}
+
+	@Override
+	public HttpRequest grantRequest(GrantCall call) {
+		return new HttpRequest("POST", "/grant", List.of(), new byte[0]);
+	}
+
+	@Override
+	public GrantReply grantReply(GrantCall call, HttpResponse response) {
+		return GrantReply.UNKNOWN;
+	}
+
+	@Override
+	public ControlRequest controlRequest(HttpRequest request) {
+		String[] words = new String(request.body(), StandardCharsets.UTF_8).split(" ", 4);
+		return switch (words[0]) {
+			case "replace" ->
+				new ControlRequest.ReplaceConfig(Long.parseLong(words[1]), Long.parseLong(words[2]), request.body());
+			case "read" -> new ControlRequest.ReadConfig();
+			case "out" -> new ControlRequest.SetDomainOut(words[1], true);
+			case "beat" -> new ControlRequest.Heartbeat(new TargetHeartbeat(
+					new FleetTarget(words[1], 1, "s", "127.0.0.1:1", "d", 1, FleetTarget.Stage.SERVING), 0,
+					System.nanoTime()));
+			default -> new ControlRequest.Unknown();
+		};
+	}
+
+	@Override
+	public HttpResponse controlResponse(ControlRequest call, ControlAnswer answer, HttpRequest request) {
+		String document = new String(answer.document(), StandardCharsets.UTF_8);
+		String text = answer.kind() + " " + (document.isEmpty() ? answer.text() : document);
+		return new HttpResponse(200, List.of(), text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Override
+	public TrafficConfig config(byte[] document) throws InvalidDocumentException {
+		String text = new String(document, StandardCharsets.UTF_8);
+		if (text.endsWith("broken")) {
+			throw new InvalidDocumentException("the text is broken");
+		}
+		return new TrafficConfig(1, List.of(), List.of(), CallerLimits.DEFAULT);
+	}
+
+	@Override
+	public boolean asksReadiness(HttpRequest request) {
+		return false;
+	}
+
+}
