--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/TargetTracker.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/TargetTracker.java
@@ -151,14 +151,6 @@
 		return this.serviceMillis * (1 + busy / this.slots);
 	}
 
-	/**
-	 * Returns the requests of this instance that are on their way.
-	 * @return the number of requests
-	 */
-	public int inFlight() {
-		return this.inFlight;
-	}
-
 	private double queue(long now) {
 		return Math.max(0, Math.max(known(now), this.inFlight) - this.slots + 1);
 	}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/traffic/SplitCounter.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/traffic/SplitCounter.java
@@ -1,7 +1,5 @@
 package org.redwingramp.core.traffic;
 
-import java.util.Arrays;
-
 /**
  * Distributes the requests of one route over its services in the proportion of their
  * weights, by smooth weighted round robin: after any number of requests each service is
@@ -36,9 +34,4 @@
 		return this.route.services().get(best).service();
 	}
 
-	@Override
-	public String toString() {
-		return this.route.name() + Arrays.toString(this.credit);
-	}
-
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -68,20 +68,6 @@
 		}
 	}
 
-	/**
-	 * Closes the connections to targets that are no longer known.
-	 * @param addresses the addresses in use
-	 */
-	public void keepOnly(java.util.Set<String> addresses) {
-		this.lanes.entrySet().removeIf((entry) -> {
-			boolean unused = !addresses.contains(entry.getKey()) && entry.getValue().queue.isEmpty();
-			if (unused) {
-				entry.getValue().connections.closeIdle();
-			}
-			return unused;
-		});
-	}
-
 	private TargetConnections connections(String address) {
 		int colon = address.lastIndexOf(':');
 		return new TargetConnections(this.loop,
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -1,7 +1,6 @@
 package org.redwingramp.node.entry;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -321,8 +320,4 @@
 		return target.tracker().cost(now);
 	}
 
-	InetSocketAddress address() {
-		return this.settings.listen();
-	}
-
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.channels.ServerSocketChannel;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -24,8 +23,6 @@
 
 	private final HttpHandler handler;
 
-	private ServerSocketChannel listener;
-
 	private boolean draining;
 
 	private HttpServer(Supplier<HttpLimits> limits, HttpHandler handler) {
@@ -45,7 +42,7 @@
 	public static HttpServer start(EventLoop loop, InetSocketAddress address, Supplier<HttpLimits> limits,
 			HttpHandler handler) throws IOException {
 		HttpServer server = new HttpServer(limits, handler);
-		server.listener = loop.listen(address, (tcp) -> {
+		loop.listen(address, (tcp) -> {
 			ServerConnection connection = new ServerConnection(server, tcp, limits.get());
 			server.connections.add(connection);
 			return connection;
@@ -63,14 +60,6 @@
 		List.copyOf(this.connections).forEach(ServerConnection::closeIfIdle);
 	}
 
-	/**
-	 * Accepts no more connections.
-	 * @throws IOException if the socket can't be closed
-	 */
-	public void stopListening() throws IOException {
-		this.listener.close();
-	}
-
 	/**
 	 * Returns the number of requests that wait for their response.
 	 * @return the number of requests
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
@@ -72,23 +72,6 @@
 		return this.opened;
 	}
 
-	/**
-	 * Returns the number of connections in use or kept.
-	 * @return the number of connections
-	 */
-	public int size() {
-		return this.open.size();
-	}
-
-	/**
-	 * Returns whether a request can be sent without a new connection.
-	 * @return whether a connection is idle
-	 */
-	public boolean hasIdle() {
-		dropStale();
-		return !this.idle.isEmpty();
-	}
-
 	/**
 	 * Closes the connections that were idle for too long.
 	 */
