Raise the fence of a range before it moves if a grant of it has no answer

Change: a range with an unanswered grant gets a new fence for its present owner, who goes on serving it, and moves only once that is confirmed; the late copy is then refused.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -428,7 +428,11 @@
 		if (!reachable || lease.callInFlight()) {
 			return;
 		}
-		if (!keeps(target) && (lease.phase() == Phase.HELD || lease.phase() == Phase.TO_GRANT)) {
+		boolean granted = lease.phase() == Phase.HELD || lease.phase() == Phase.TO_GRANT;
+		if (granted && lease.lateGrantPossible(now)) {
+			refence(lease);
+		}
+		else if (granted && !keeps(target) && !lease.confirmFirst()) {
 			release(lease, target, now);
 		}
 		else if (this.leases.releaseDue(lease, now)) {
@@ -440,6 +444,18 @@
 		}
 	}
 
+	// A grant without an answer may be applied seconds later. Once its target has seen a
+	// higher fence, it refuses it.
+	private void refence(RangeLease lease) {
+		Move same = new Move(lease.range().keys(), lease.range().owner());
+		AssignKeys command = new AssignKeys(lease.service(), List.of(same));
+		if (this.proposed.add(command)) {
+			this.output.decision("refence", "service", lease.service(), "keys", text(lease.range().keys()), "target",
+					lease.range().owner().target(), "fence", lease.range().fence());
+			this.output.propose(command);
+		}
+	}
+
 	private void release(RangeLease lease, FleetTarget target, long now) {
 		this.keyChanges++;
 		this.leases.releaseSent(lease, now);
@@ -510,6 +526,7 @@
 		List<OwnedRange> movable = all.stream()
 			.filter((lease) -> lease.serving() && !lease.callInFlight() && ownerReachable(lease, now))
 			.filter((lease) -> now - lease.sinceNanos() >= SETTLED_NANOS)
+			.filter((lease) -> lease.phase() == Phase.HELD && !lease.lateGrantPossible(now))
 			.map(RangeLease::range)
 			.toList();
 		List<Bin> bins = bins(service, now, List.of());
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
@@ -92,7 +92,14 @@
 	 */
 	public void follow(String service, KeyMap keys, long now) {
 		TreeMap<Integer, RangeLease> leases = this.byService.computeIfAbsent(service, (name) -> new TreeMap<>());
-		leases.values().removeIf((lease) -> !covers(keys, lease.range()));
+		List<RangeLease> outdated = leases.values().stream().filter((lease) -> !covers(keys, lease.range())).toList();
+		outdated.forEach((lease) -> {
+			KeyRange part = lease.range().keys();
+			leases.remove(part.first());
+			keys.find(part.first())
+				.filter((range) -> range.keys().equals(part) && range.owner().equals(lease.range().owner()))
+				.ifPresent((range) -> leases.put(part.first(), lease.refenced(range, now)));
+		});
 		keys.ranges().forEach((range) -> uncovered(leases, range.keys()).forEach((part) -> {
 			long end = (this.phaseOfNew == RangeLease.Phase.HELD) ? this.timing.endOf(now) : now;
 			RangeLease lease = new RangeLease(service, range.with(part), this.phaseOfNew,
@@ -184,6 +191,9 @@
 	 */
 	public void grantReturned(RangeLease lease, GrantOutcome outcome) {
 		lease.returned();
+		if (outcome == GrantOutcome.UNKNOWN) {
+			lease.unanswered(lease.lastSentNanos() + LeaseTiming.LATE_GRANT_NANOS);
+		}
 		if (outcome == GrantOutcome.CONFIRMED) {
 			lease.confirmed();
 		}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTiming.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTiming.java
@@ -13,6 +13,12 @@
 
 	private static final long MILLISECOND = 1_000_000L;
 
+	/**
+	 * A grant without an answer may be applied up to this much later, in nanoseconds: the
+	 * platform states 12 s.
+	 */
+	public static final long LATE_GRANT_NANOS = 12_500 * MILLISECOND;
+
 	/**
 	 * A grant outlasts a change of the control leader of up to two seconds, and the keys
 	 * of a silent target are free again after about four. Targets' clocks may run 2%
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
@@ -25,6 +25,10 @@
 
 	private long endBeforeCallNanos;
 
+	private long lateGrantUntilNanos;
+
+	private boolean confirmFirst;
+
 	private boolean callInFlight;
 
 	private boolean answered;
@@ -36,13 +40,26 @@
 		this.sinceNanos = now;
 		this.lastSentNanos = now;
 		this.endNanos = endNanos;
+		this.lateGrantUntilNanos = now;
 		this.answered = phase == Phase.HELD;
 	}
 
+	// The same range under a new fence of the same owner, who goes on serving it.
+	RangeLease refenced(OwnedRange next, long now) {
+		RangeLease lease = new RangeLease(this.service, next, Phase.TO_GRANT, this.lastSentNanos, this.endNanos);
+		lease.lateGrantUntilNanos = now;
+		lease.sinceNanos = this.sinceNanos;
+		lease.answered = this.answered;
+		lease.confirmFirst = true;
+		return lease;
+	}
+
 	RangeLease part(KeyRange keys) {
 		RangeLease part = new RangeLease(this.service, this.range.with(keys), this.phase, this.lastSentNanos,
 				this.endNanos);
 		part.answered = this.answered;
+		part.lateGrantUntilNanos = this.lateGrantUntilNanos;
+		part.confirmFirst = this.confirmFirst;
 		part.sinceNanos = this.sinceNanos;
 		return part;
 	}
@@ -100,7 +117,29 @@
 	 * @return whether requests may be sent to the owner
 	 */
 	public boolean serving() {
-		return this.phase == Phase.HELD && this.answered;
+		return (this.phase == Phase.HELD || this.phase == Phase.TO_GRANT) && this.answered;
+	}
+
+	/**
+	 * Returns whether a grant of this fence without an answer may still take effect. The
+	 * range must not go to another owner before its present one has seen a higher fence.
+	 * @param now the monotonic time in nanoseconds
+	 * @return whether a late grant is possible
+	 */
+	public boolean lateGrantPossible(long now) {
+		return now < this.lateGrantUntilNanos;
+	}
+
+	/**
+	 * Returns whether the owner has to confirm the fence before it may be released.
+	 * @return whether the grant has to be confirmed first
+	 */
+	public boolean confirmFirst() {
+		return this.confirmFirst && this.phase == Phase.TO_GRANT;
+	}
+
+	void unanswered(long until) {
+		this.lateGrantUntilNanos = until;
 	}
 
 	/**
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
@@ -29,6 +29,9 @@
 
 	final Set<String> cutFromControl = new HashSet<>();
 
+	/** Targets whose next grant gets no answer; it is applied three seconds later. */
+	final Set<String> lateOnce = new HashSet<>();
+
 	final Set<String> replaced = new HashSet<>();
 
 	final List<String> decisions = new ArrayList<>();
@@ -41,6 +44,12 @@
 
 	private final Map<String, List<Held>> held = new HashMap<>();
 
+	private final List<Late> late = new ArrayList<>();
+
+	private final Map<String, Long> seen = new HashMap<>();
+
+	private final Map<Integer, Taken> highest = new HashMap<>();
+
 	private final List<Runnable> replies = new ArrayList<>();
 
 	private final Map<String, Long> coldUntil = new HashMap<>();
@@ -102,6 +111,7 @@
 							(target) -> beat(target, Math.max(0, (this.coldUntil.get(target.name()) - this.now) / MS)));
 			}
 			this.controller.tick(this.now);
+			applyLate();
 			checkOwners();
 		}
 	}
@@ -128,7 +138,11 @@
 
 	@Override
 	public void grant(RangeLease lease, FleetTarget target, Optional<String> via) {
-		GrantOutcome outcome = reach(target, via);
+		GrantOutcome outcome = this.lateOnce.remove(target.name()) ? GrantOutcome.UNKNOWN : reach(target, via);
+		if (outcome == GrantOutcome.UNKNOWN) {
+			this.late.add(new Late(this.now + 3000 * MS, target.name(), lease.range().keys(), lease.range().fence()));
+		}
+		noteFence(target.name(), lease, outcome);
 		if (outcome == GrantOutcome.CONFIRMED) {
 			List<Held> list = this.held.computeIfAbsent(target.name(), (name) -> new ArrayList<>());
 			list.removeIf((held) -> held.keys().equals(lease.range().keys()));
@@ -151,6 +165,34 @@
 		this.decisions.add(event);
 	}
 
+	private void noteFence(String target, RangeLease lease, GrantOutcome outcome) {
+		if (outcome == GrantOutcome.CONFIRMED) {
+			for (int key = lease.range().keys().first(); key <= lease.range().keys().last(); key++) {
+				this.seen.merge(target + " " + key, lease.range().fence(), Math::max);
+				this.highest.merge(key, new Taken(target, lease.range().fence()),
+						(former, next) -> (next.fence() >= former.fence()) ? next : former);
+			}
+		}
+	}
+
+	// A late grant is refused by a target that has seen a higher fence. Elsewhere it must
+	// not lie below the fence of another target.
+	private void applyLate() {
+		this.late.removeIf((grant) -> {
+			if (grant.at() > this.now || this.silent.contains(grant.target())) {
+				return grant.at() <= this.now;
+			}
+			int key = grant.keys().first();
+			boolean refused = this.seen.getOrDefault(grant.target() + " " + key, 0L) > grant.fence();
+			Taken taken = this.highest.getOrDefault(key, new Taken(grant.target(), 0));
+			if (!refused && !taken.target().equals(grant.target()) && taken.fence() > grant.fence()) {
+				throw new AssertionError(
+						"late grant of key " + key + " with fence " + grant.fence() + " taken below " + taken);
+			}
+			return true;
+		});
+	}
+
 	private GrantOutcome reach(FleetTarget target, Optional<String> via) {
 		if (this.replaced.contains(target.name())) {
 			return GrantOutcome.OTHER_TARGET;
@@ -190,6 +232,12 @@
 		});
 	}
 
+	private record Late(long at, String target, KeyRange keys, long fence) {
+	}
+
+	private record Taken(String target, long fence) {
+	}
+
 	private record Held(KeyRange keys, long until) {
 	}
 
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -121,6 +121,21 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/** A late grant below the fence of another owner broke the rule of sole ownership. */
+	@Test
+	void shouldRaiseTheFenceOfATargetWithAnUnansweredGrantBeforeItsKeysMove() {
+		settle();
+		this.fleet.lateOnce.add("t-1");
+		this.fleet.run(1200);
+		FleetTarget draining = this.fleet.state.target("t-1").orElseThrow();
+		this.fleet.beat(draining.with(Stage.DRAINING), 0);
+		this.fleet.run(1000);
+		assertThat(this.fleet.owners()).doesNotContain("t-1");
+		this.fleet.run(4000);
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+		assertThat(this.fleet.decisions).contains("refence");
+	}
+
 	@Test
 	void shouldGiveNoKeysToAColdTarget() {
 		settle();
