--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -73,7 +73,9 @@
 
 	private final Map<RangeLease, Owner> receivers = new HashMap<>();
 
-	private final Set<Object> proposed = new HashSet<>();
+	private final Set<FleetCommand> proposed = new HashSet<>();
+
+	private final Map<String, FleetCommand> placing = new HashMap<>();
 
 	private final KeyPlanner planner = new KeyPlanner();
 
@@ -211,9 +213,7 @@
 	 */
 	public void rejected(FleetCommand command) {
 		this.proposed.remove(command);
-		if (command instanceof AssignKeys assign) {
-			this.proposed.remove(assign.service());
-		}
+		this.placing.values().remove(command);
 	}
 
 	/**
@@ -476,7 +476,7 @@
 			.stream()
 			.filter((gap) -> this.leases.free(service, gap, now))
 			.toList();
-		if ((free.isEmpty() && gaps.isEmpty()) || this.proposed.contains(service)) {
+		if ((free.isEmpty() && gaps.isEmpty()) || this.placing.containsKey(service)) {
 			return;
 		}
 		List<Bin> bins = bins(service, now, free);
@@ -592,7 +592,7 @@
 	private void proposeOnce(FleetCommand command) {
 		if (this.proposed.add(command)) {
 			if (command instanceof AssignKeys assign) {
-				this.proposed.add(assign.service());
+				this.placing.put(assign.service(), command);
 			}
 			this.output.propose(command);
 		}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -136,6 +136,20 @@
 		assertThat(this.fleet.decisions).contains("refence");
 	}
 
+	/** A raised fence that was committed first let the same keys be placed twice. */
+	@Test
+	void shouldPlaceKeysOnceWhileAnotherAssignmentIsCommitted() {
+		settle();
+		this.fleet.silent.add("t-1");
+		this.fleet.run(800);
+		for (int i = 0; i < 12; i++) {
+			this.fleet.lateOnce.add("t-" + (2 + i % 2));
+			this.fleet.run(400);
+		}
+		assertThat(this.fleet.owners()).doesNotContain("t-1");
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
 	@Test
 	void shouldGiveNoKeysToAColdTarget() {
 		settle();
