Make connections to a target's address in one place

Cause: TargetCalls and EntryView parsed an address in the same way. Change: TargetConnections has a factory; behaviour is the same. Measured: the module's checks, EntryNodeTests and EventWriterTests pass.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -1,6 +1,5 @@
 package org.redwingramp.node.control;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -54,7 +53,7 @@
 	 * @param reply hears the answer once
 	 */
 	public void send(String address, GrantCall call, Consumer<GrantReply> reply) {
-		Lane lane = this.lanes.computeIfAbsent(address, (key) -> new Lane(connections(key)));
+		Lane lane = this.lanes.computeIfAbsent(address, (key) -> new Lane(TargetConnections.to(this.loop, key)));
 		if (call.release()) {
 			exchange(lane, call, RELEASE_TIMEOUT_NANOS, reply);
 		}
@@ -68,12 +67,6 @@
 		}
 	}
 
-	private TargetConnections connections(String address) {
-		int colon = address.lastIndexOf(':');
-		return new TargetConnections(this.loop,
-				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
-	}
-
 	private void next(Lane lane) {
 		if (!lane.busy && !lane.queue.isEmpty()) {
 			lane.busy = true;
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -1,6 +1,5 @@
 package org.redwingramp.node.entry;
 
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -150,7 +149,7 @@
 				known.update(view, now);
 			}
 			else {
-				this.targets.put(view.name(), new EntryTarget(view, connections(view.address()),
+				this.targets.put(view.name(), new EntryTarget(view, TargetConnections.to(this.loop, view.address()),
 						new TargetTracker(view.slots(), FIRST_SERVICE_MILLIS, now), now));
 			}
 		});
@@ -170,10 +169,4 @@
 		this.keys = next;
 	}
 
-	private TargetConnections connections(String address) {
-		int colon = address.lastIndexOf(':');
-		return new TargetConnections(this.loop,
-				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
-	}
-
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
@@ -43,6 +43,18 @@
 		this.address = address;
 	}
 
+	/**
+	 * Creates an empty set of connections.
+	 * @param loop the event loop
+	 * @param address the target's address, {@code ip:port}
+	 * @return the connections
+	 */
+	public static TargetConnections to(EventLoop loop, String address) {
+		int colon = address.lastIndexOf(':');
+		return new TargetConnections(loop,
+				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+	}
+
 	/**
 	 * Sends a request.
 	 * @param request the request
