Elect sooner after a restart of all replicas

Cause: a restarted replica refuses votes for one minimum election timeout, as if it had just heard a leader, and counted that from the moment at which its folder was open, 0.4 s after its start. A round of votes that was asked for before the links were open was repeated only after another whole timeout, and a refused link was dialled again only after 0.25 to 0.4 s.

Change: the wait counts from the start of the process, which can't have heard a leader before; a round of pre-votes, which changes no term, is repeated after one or two heartbeats; refused links are dialled again after 0.1 s.

Two tests, one of which fails on the former code; the other guards the repeated round.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/Replica.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/Replica.java
@@ -17,7 +17,9 @@
 	/**
 	 * Handles an event.
 	 * @param event the event
-	 * @param now the monotonic time in nanoseconds, never lower than before
+	 * @param now the monotonic time in nanoseconds, never lower than before. The first
+	 * event may have the time of the process's start: the replica refuses votes for one
+	 * minimum election timeout from then, as if it had heard a leader.
 	 * @return the effects, to be carried out in the order that {@link ReplicaEffects}
 	 * states
 	 * @throws ConsensusInvariantException if an invariant doesn't hold; the replica must
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Election.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Election.java
@@ -44,6 +44,13 @@
 		this.deadline = this.context.now() + this.context.random().nextLong(first, first + span / parts + 1);
 	}
 
+	// A round of pre-votes changes no term, so it is repeated soon: replicas that start
+	// together often miss the first one while their links are being opened.
+	private void repeatPreVoteSoon() {
+		long least = this.context.timing().heartbeatNanos();
+		this.deadline = this.context.now() + this.context.random().nextLong(least, 2 * least);
+	}
+
 	void followLeader() {
 		this.preVoting = false;
 		restartTimer();
@@ -58,6 +65,7 @@
 		this.context.forgetLeader();
 		this.preVoting = true;
 		startRound(new PreVoteRequest(this.context.term() + 1, this.context.clusterId(), lastIndex(), lastTerm()));
+		repeatPreVoteSoon();
 		tellBlankReplicas();
 		return grantsSuffice() && stand();
 	}
@@ -113,11 +121,11 @@
 		this.context.activity(Context.Activity.CANDIDATE);
 		this.context.voteFor(this.context.id());
 		startRound(new VoteRequest(this.context.term(), this.context.clusterId(), lastIndex(), lastTerm()));
+		restartTimer();
 		return grantsSuffice();
 	}
 
 	private void startRound(PeerMessage request) {
-		restartTimer();
 		this.grants.clear();
 		this.grants.add(this.context.id());
 		group().voters()
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/ReplicaCore.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/ReplicaCore.java
@@ -162,7 +162,7 @@
 		if (this.context.leading() && !this.leadership.quorumHeard()) {
 			stepDown();
 		}
-		else if (!this.context.leading() && elapsed > this.context.timing().minElectionNanos()) {
+		else if (this.context.leader().isPresent() && elapsed > this.context.timing().minElectionNanos()) {
 			this.election.restartTimer();
 		}
 	}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/consensus/ElectionTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/consensus/ElectionTests.java
@@ -94,6 +94,40 @@
 		assertThat(group.leader().applied).hasSize(300);
 	}
 
+	// Guards against a restart of all replicas that takes a whole further election
+	// timeout because the first round of votes was asked for before the links were open.
+	@Test
+	void shouldAskAgainSoonAfterARoundOfVotesThatNobodyHeard() {
+		for (long seed = 0; seed < 20; seed++) {
+			TestGroup group = TestGroup.formed(seed, "a", "b", "c");
+			group.nodes.values().forEach(group::crash);
+			List.copyOf(group.nodes.values()).forEach(group::restart);
+			boolean[] open = { false };
+			group.loses = (message) -> !open[0];
+			long began = group.now;
+			group.run(ConsensusTiming.DEFAULT.maxElectionNanos() / TestGroup.MS);
+			open[0] = true;
+			group.until("leader", (all) -> !all.leaders().isEmpty());
+			long waited = (group.now - began - ConsensusTiming.DEFAULT.maxElectionNanos()) / TestGroup.MS;
+			assertThat(waited).isLessThan(ConsensusTiming.DEFAULT.minElectionNanos() / TestGroup.MS);
+		}
+	}
+
+	// Guards against a restarted replica that waits another election timeout after a slow
+	// start, and against one that votes within the promise of its former life.
+	@Test
+	void shouldCountTheFirstWaitFromTheStartOfTheProcess() {
+		TestGroup group = TestGroup.formed(3, "a", "b", "c");
+		TestNode stopped = group.leader();
+		group.nodes.values().forEach(group::crash);
+		TestNode restarted = group.restart(stopped);
+		long start = group.now;
+		restarted.handle(new ReplicaEvent.Tick(), start);
+		long opened = start + ConsensusTiming.DEFAULT.maxElectionNanos() + TestGroup.MS;
+		restarted.handle(new ReplicaEvent.Tick(), opened);
+		assertThat(restarted.outbox).anyMatch((sent) -> sent.message() instanceof PeerMessage.PreVoteRequest);
+	}
+
 	@Test
 	void shouldFormAGroupOfOne() {
 		TestGroup group = TestGroup.formed(1, "a");
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlSettings.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlSettings.java
@@ -14,9 +14,10 @@
  * @param seeds the IP addresses of known replicas
  * @param founding whether the seeds may form a new group
  * @param dataFolder the data folder
+ * @param startedNanos the monotonic time of the process's start
  */
 public record ControlSettings(String instance, String name, InetSocketAddress listen, int peerPort, List<String> seeds,
-		boolean founding, Path dataFolder) {
+		boolean founding, Path dataFolder, long startedNanos) {
 
 	public ControlSettings {
 		seeds = List.copyOf(seeds);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/PeerLinks.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/PeerLinks.java
@@ -29,6 +29,12 @@
 	/** A link that is silent for longer is taken as dead. */
 	private static final long SILENT_NANOS = 1200 * MILLISECOND;
 
+	/**
+	 * The delay before a replica that refused a link is called again. Replicas that start
+	 * together listen within a few tenths of a second of each other.
+	 */
+	private static final long REDIAL_NANOS = 100 * MILLISECOND;
+
 	private final EventLoop loop;
 
 	private final ControlSettings settings;
@@ -45,6 +51,8 @@
 
 	private final Set<String> established = new TreeSet<>();
 
+	private final Set<String> redialing = new TreeSet<>();
+
 	private boolean closed;
 
 	PeerLinks(EventLoop loop, ControlSettings settings, Supplier<LinkMessage.ReplicaHello> hello,
@@ -121,6 +129,14 @@
 		if (this.established.remove(name)) {
 			this.events.log(NodeEvent.LINK_CHANGED, "peer", name, "up", false);
 		}
+		if (this.redialing.add(name)) {
+			this.loop.schedule(REDIAL_NANOS, () -> redial(name));
+		}
+	}
+
+	private void redial(String name) {
+		this.redialing.remove(name);
+		dial(name);
 	}
 
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -79,6 +79,8 @@
 
 	private final PeerLinks peers;
 
+	private final long startedNanos;
+
 	private final ExecutorService disk = Executors.newSingleThreadExecutor((task) -> {
 		Thread thread = new Thread(task, "disk");
 		thread.setDaemon(true);
@@ -117,6 +119,7 @@
 	ReplicaHost(EventLoop loop, ControlSettings settings, EventWriter events) throws StorageException {
 		this.loop = loop;
 		this.events = events;
+		this.startedNanos = settings.startedNanos();
 		this.store = open(settings, events);
 		List<String> founding = founding(settings) ? settings.seeds() : List.of();
 		this.replica = Replicas.createOpen(this.store.load(), founding, GROUP_SIZE, TIMING, new SecureRandom());
@@ -140,8 +143,10 @@
 	void start(BiConsumer<FleetCommand, FleetResult> listener) {
 		this.appliedListener = listener;
 		this.loop.repeat(TICK_NANOS, () -> handle(new ReplicaEvent.Tick()));
+		// The replica counts its first wait from here. It can't have heard a leader since
+		// the start of its process, so opening the folder is a part of that wait.
+		handle(new ReplicaEvent.Tick(), this.startedNanos);
 		this.peers.start();
-		handle(new ReplicaEvent.Tick());
 	}
 
 	void learn(List<String> names) {
@@ -211,10 +216,14 @@
 	}
 
 	private void handle(ReplicaEvent event) {
+		handle(event, System.nanoTime());
+	}
+
+	private void handle(ReplicaEvent event, long now) {
 		if (this.broken) {
 			return;
 		}
-		ReplicaEffects effects = this.replica.handle(event, System.nanoTime());
+		ReplicaEffects effects = this.replica.handle(event, now);
 		noteRole();
 		if (effects != ReplicaEffects.NONE) {
 			this.waiting.add(effects);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/ControlLinks.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/ControlLinks.java
@@ -33,6 +33,12 @@
 
 	private static final long OTHER_SILENT_NANOS = 2500 * MILLISECOND;
 
+	/**
+	 * The delay before a replica that refused a link is called again. After a loss of all
+	 * processes each instance waits for its first leader.
+	 */
+	private static final long REDIAL_NANOS = 100 * MILLISECOND;
+
 	private final EventLoop loop;
 
 	private final EntrySettings settings;
@@ -47,6 +53,8 @@
 
 	private final Set<Link> established = new java.util.HashSet<>();
 
+	private final Set<String> redialing = new TreeSet<>();
+
 	private Link leader;
 
 	private long leaderHeardNanos = System.nanoTime();
@@ -92,10 +100,8 @@
 				link.close();
 				link = null;
 			}
-			if (!this.links.containsKey(name)) {
-				dial(name);
-			}
-			else if (link != null && link != this.leader && this.rounds % HELLO_EVERY == 0) {
+			dial(name);
+			if (link != null && link != this.leader && this.rounds % HELLO_EVERY == 0) {
 				link.send(this.listener.hello());
 			}
 		});
@@ -103,6 +109,9 @@
 	}
 
 	private void dial(String name) {
+		if (this.links.containsKey(name)) {
+			return;
+		}
 		Link link = Link.open(this.loop, new InetSocketAddress(name, this.settings.peerPort()), this::received,
 				(ended) -> ended(name, ended));
 		this.links.put(name, link);
@@ -119,6 +128,14 @@
 			this.leader = null;
 			this.events.log(NodeEvent.CONTROL_SILENT, "leader", name);
 		}
+		if (this.redialing.add(name)) {
+			this.loop.schedule(REDIAL_NANOS, () -> redial(name));
+		}
+	}
+
+	private void redial(String name) {
+		this.redialing.remove(name);
+		dial(name);
 	}
 
 	private void received(Link link, LinkMessage message) {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
@@ -56,7 +56,7 @@
 		EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
 		EventWriter events = new EventWriter(this.log, name);
 		ControlSettings settings = new ControlSettings(name, name, new InetSocketAddress(name, this.port),
-				this.peerPort, this.seeds, founding, this.folder.resolve(name));
+				this.peerPort, this.seeds, founding, this.folder.resolve(name), System.nanoTime());
 		CompletableFuture<Void> ended = new CompletableFuture<>();
 		ControlNode node = ControlNode.start(loop, settings, new TextDialect(), events);
 		Thread thread = new Thread(() -> run(loop, node, ended), name);
