Send the first view of a leadership before anything else

Cause: between the election and the first view on entry instances lay 0.35 s. The leader first loaded the HTTP parser for the calls of targets (0.2 s of class loading, mostly date formats), then ran the first round of its controller; entry instances had to introduce themselves again before they got a view.

Change: calls of targets and operators are accepted 0.15 s after a leader is known, or 0.7 s after the start, and wait in the socket until then; the leader remembers the introductions and sends the view in the round in which its leadership begins. An entry instance applies a sample view while it waits.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -61,6 +63,17 @@
 
 	private static final long RELAY_TIMEOUT_NANOS = 1300 * MILLISECOND;
 
+	/**
+	 * The longest time that calls wait for the first leader after a start. The callers
+	 * give up after a second.
+	 */
+	private static final long CALLS_WAIT_NANOS = 700 * MILLISECOND;
+
+	private static final long CALLS_CHECK_NANOS = 50 * MILLISECOND;
+
+	/** The time in which entry instances get their first view, ahead of calls. */
+	private static final long CALLS_AFTER_LEADER_NANOS = 150 * MILLISECOND;
+
 	/** A jump of the wall clock against the monotonic one that tells of a suspension. */
 	private static final long SUSPENDED_MILLIS = 400;
 
@@ -82,7 +95,7 @@
 
 	private final Map<Link, EntrySession> sessions = new HashMap<>();
 
-	private final List<Link> entryLinks = new ArrayList<>();
+	private final Map<Link, LinkMessage.EntryHello> entryLinks = new LinkedHashMap<>();
 
 	private final List<Confirmation> confirmations = new ArrayList<>();
 
@@ -129,9 +142,10 @@
 		ControlNode node = new ControlNode(loop, settings, dialect, events);
 		loop.listen(new InetSocketAddress(settings.listen().getAddress(), settings.peerPort()),
 				(tcp) -> Link.accepted(tcp, node::received, node::ended));
-		HttpServer.start(loop, settings.listen(), () -> LIMITS, node::handle);
+		ServerSocketChannel calls = loop.bind(settings.listen());
 		node.replica.start(node::applied);
 		node.addGauges(events.metrics());
+		node.acceptCalls(calls, System.nanoTime() + CALLS_WAIT_NANOS);
 		loop.repeat(CONTROLLER_NANOS, node::tick);
 		loop.afterEachRound(node::flush);
 		return node;
@@ -153,6 +167,27 @@
 		this.replica.learn(seeds);
 	}
 
+	// Calls of targets and operators wait a moment for the first leader. Answered before,
+	// they would be told to come back, and the answers would delay the election.
+	private void acceptCalls(ServerSocketChannel socket, long latest) {
+		if (this.replica.leader().isEmpty() && System.nanoTime() - latest < 0) {
+			this.loop.schedule(CALLS_CHECK_NANOS, () -> acceptCalls(socket, latest));
+		}
+		else {
+			this.loop.schedule(CALLS_AFTER_LEADER_NANOS, () -> acceptCalls(socket));
+		}
+	}
+
+	private void acceptCalls(ServerSocketChannel socket) {
+		try {
+			HttpServer.idle(() -> LIMITS, this::handle).accept(this.loop, socket);
+		}
+		catch (IOException ex) {
+			this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", "accept calls", "reason", ex.getMessage());
+			this.loop.stop();
+		}
+	}
+
 	private void addGauges(NodeMetrics metrics) {
 		metrics.gauge("leading", () -> this.controller.isPresent() ? 1 : 0);
 		metrics.gauge("term", () -> this.replica.term());
@@ -204,6 +239,12 @@
 		FleetState state = this.replica.state();
 		this.controller = Optional.of(new FleetController(state, new Output(), LeaseTiming.DEFAULT, System.nanoTime()));
 		readConfig();
+		// The entry instances get the first view before the controller's first round:
+		// until
+		// then they refuse all requests.
+		this.entryLinks.forEach((link, hello) -> follow(link, hello.entry(), hello.configVersion()));
+		tellLeader();
+		flush();
 		this.events.log(NodeEvent.CONTROLLER_DECISION, "decision", "leadership-began", "term", this.replica.term(),
 				"config", state.configVersion(), "targets", state.targets().size());
 	}
@@ -233,7 +274,7 @@
 		LinkMessage.LeaderInfo info = leaderInfo();
 		if (!info.equals(this.leaderTold)) {
 			this.leaderTold = info;
-			List.copyOf(this.entryLinks).forEach((link) -> link.send(info));
+			List.copyOf(this.entryLinks.keySet()).forEach((link) -> link.send(info));
 		}
 	}
 
@@ -244,7 +285,7 @@
 
 	private void dropSilentEntries() {
 		long now = System.nanoTime();
-		List.copyOf(this.entryLinks)
+		List.copyOf(this.entryLinks.keySet())
 			.stream()
 			.filter((link) -> now - link.heardNanos() > 2 * ENTRY_SILENT_NANOS)
 			.forEach(Link::close);
@@ -252,9 +293,7 @@
 
 	private void received(Link link, LinkMessage message) {
 		if (message instanceof LinkMessage.EntryHello hello) {
-			if (!this.entryLinks.contains(link)) {
-				this.entryLinks.add(link);
-			}
+			this.entryLinks.put(link, hello);
 			link.send(leaderInfo());
 			follow(link, hello.entry(), hello.configVersion());
 		}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -151,8 +151,9 @@
 		try {
 			LinkWarmup.entryMessages();
 			this.dialect.warmUp();
+			new EntryView(this.loop, this.dialect).apply(LinkWarmup.sampleView(), System.nanoTime());
 		}
-		catch (CodecException ex) {
+		catch (CodecException | InvalidDocumentException ex) {
 			this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", "warm up", "reason", ex.getMessage());
 		}
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -42,13 +43,33 @@
 	public static HttpServer start(EventLoop loop, InetSocketAddress address, Supplier<HttpLimits> limits,
 			HttpHandler handler) throws IOException {
 		HttpServer server = new HttpServer(limits, handler);
-		loop.listen(address, (tcp) -> {
-			ServerConnection connection = new ServerConnection(server, tcp, limits.get());
-			server.connections.add(connection);
+		server.accept(loop, loop.bind(address));
+		return server;
+	}
+
+	/**
+	 * Creates a server that accepts nothing yet.
+	 * @param limits what it accepts, asked for each connection
+	 * @param handler handles the requests
+	 * @return the server
+	 */
+	public static HttpServer idle(Supplier<HttpLimits> limits, HttpHandler handler) {
+		return new HttpServer(limits, handler);
+	}
+
+	/**
+	 * Serves the connections to a bound address from now on.
+	 * @param loop the event loop
+	 * @param socket the listening socket
+	 * @throws IOException if the socket was closed
+	 */
+	public void accept(EventLoop loop, ServerSocketChannel socket) throws IOException {
+		loop.accept(socket, (tcp) -> {
+			ServerConnection connection = new ServerConnection(this, tcp, this.limits.get());
+			this.connections.add(connection);
 			return connection;
 		});
-		loop.repeat(SWEEP_NANOS, server::sweep);
-		return server;
+		loop.repeat(SWEEP_NANOS, this::sweep);
 	}
 
 	/**
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
@@ -25,15 +25,22 @@
 	 * program
 	 */
 	public static void entryMessages() throws CodecException {
-		FleetView view = new FleetView(1, 1, 1, Optional.of(new byte[1]),
-				Optional.of(List.of(new FleetView.ViewTarget("t", "s", "a", "d", 1, true, 0))),
-				Optional.of(Map.of("s", List.of(new FleetView.ViewRange(0, 1, "t")))));
 		EntryReport report = new EntryReport(List.of(new EntryReport.TargetUse("t", 1, 1, 1)),
 				List.of(new EntryReport.KeyUse("s", 1, 1)));
 		roundTrip(new LinkMessage.EntryHello("e", 1));
 		roundTrip(new LinkMessage.LeaderInfo("l", true, List.of("l")));
 		roundTrip(new LinkMessage.Report("e", 1, 1, report));
-		roundTrip(new LinkMessage.View(view));
+		roundTrip(new LinkMessage.View(sampleView()));
+	}
+
+	/**
+	 * Returns a view with one target and one range.
+	 * @return the view
+	 */
+	public static FleetView sampleView() {
+		return new FleetView(1, 1, 0, Optional.of(new byte[1]),
+				Optional.of(List.of(new FleetView.ViewTarget("t", "s", "127.0.0.1:1", "d", 1, true, 0))),
+				Optional.of(Map.of("s", List.of(new FleetView.ViewRange(0, 1, "t")))));
 	}
 
 	private static void roundTrip(LinkMessage message) throws CodecException {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/loop/EventLoop.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/loop/EventLoop.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -127,14 +128,36 @@
 	 */
 	public ServerSocketChannel listen(InetSocketAddress address, Function<TcpConnection, TcpHandler> handlers)
 			throws IOException {
+		ServerSocketChannel server = bind(address);
+		accept(server, handlers);
+		return server;
+	}
+
+	/**
+	 * Occupies an address. Connections to it wait until they are accepted.
+	 * @param address the address to listen on
+	 * @return the listening socket
+	 * @throws IOException if the address can't be used
+	 */
+	public ServerSocketChannel bind(InetSocketAddress address) throws IOException {
 		ServerSocketChannel server = ServerSocketChannel.open();
 		server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
 		server.bind(address, BACKLOG);
 		server.configureBlocking(false);
-		server.register(this.selector, SelectionKey.OP_ACCEPT, (Runnable) () -> accept(server, handlers));
 		return server;
 	}
 
+	/**
+	 * Accepts the connections to a bound address from now on.
+	 * @param server the listening socket
+	 * @param handlers creates the handler of a connection
+	 * @throws ClosedChannelException if the socket was closed
+	 */
+	public void accept(ServerSocketChannel server, Function<TcpConnection, TcpHandler> handlers)
+			throws ClosedChannelException {
+		server.register(this.selector, SelectionKey.OP_ACCEPT, (Runnable) () -> acceptAll(server, handlers));
+	}
+
 	/**
 	 * Opens a connection. The handler hears whether it was established.
 	 * @param address the address
@@ -164,7 +187,7 @@
 		return this.readBuffer.clear();
 	}
 
-	private void accept(ServerSocketChannel server, Function<TcpConnection, TcpHandler> handlers) {
+	private void acceptAll(ServerSocketChannel server, Function<TcpConnection, TcpHandler> handlers) {
 		try {
 			SocketChannel channel = server.accept();
 			while (channel != null) {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
@@ -97,6 +97,20 @@
 		}
 	}
 
+	/** Guards against calls that wait for a leader for ever instead of being refused. */
+	@Test
+	void shouldRefuseCallsSoonIfNoLeaderIsElectedAfterARestart() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
+			control.call("replace 0 5 one");
+			control.stopAll();
+			control.start(FIRST, false);
+			// The call has a time-out of its own, after which it counts as refused too.
+			long began = System.nanoTime();
+			assertThat(control.callOnce(FIRST, "read")).isEqualTo("UNAVAILABLE no leader is known");
+			assertThat(System.nanoTime() - began).isLessThan(2_000_000_000L);
+		}
+	}
+
 	private static boolean answersItself(ControlFixture control, String name) {
 		try {
 			return control.callOnce(name, "beat t-1").startsWith("ACCEPTED");
