Keep a new leader's heartbeats from being held up by its first rounds

Its loop was busy with class loading of its first controller round, the first HTTP calls and the renewal of all leases at once, so no heartbeat went out within the followers' time-out.

Change: a thread of its own loads these classes while the replica waits for the election, and at most 40 grants are sent in a round of 50 ms.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -59,6 +59,13 @@
 	 */
 	private static final long SETTLED_NANOS = 1_500_000_000L;
 
+	/**
+	 * The most grants sent in one round. A new leader has to renew all leases at once; in
+	 * one round that would hold up its heartbeats. At 20 rounds a second it renews 640
+	 * leases within the renewal time.
+	 */
+	private static final int MAX_GRANTS = 40;
+
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final FleetState state;
@@ -81,6 +88,8 @@
 
 	private Set<String> shardedServices = Set.of();
 
+	private int grantsLeft;
+
 	private long balancedNanos;
 
 	private long joinedNanos;
@@ -276,6 +285,7 @@
 	 */
 	public void tick(long now) {
 		forgetLost(now);
+		this.grantsLeft = MAX_GRANTS;
 		this.leases.all().toList().forEach((lease) -> tend(lease, now));
 		this.shardedServices.forEach((service) -> place(service, now));
 		if (now - this.balancedNanos >= BALANCE_NANOS) {
@@ -438,7 +448,8 @@
 		else if (this.leases.releaseDue(lease, now)) {
 			release(lease, target, now);
 		}
-		else if (this.leases.grantDue(lease, now)) {
+		else if (this.grantsLeft > 0 && this.leases.grantDue(lease, now)) {
+			this.grantsLeft--;
 			this.leases.grantSent(lease, now);
 			this.output.grant(lease, target, via(seen, now));
 		}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
@@ -42,6 +42,8 @@
 
 	long now = 100_000 * MS;
 
+	int grants;
+
 	private final Map<String, List<Held>> held = new HashMap<>();
 
 	private final List<Late> late = new ArrayList<>();
@@ -138,6 +140,7 @@
 
 	@Override
 	public void grant(RangeLease lease, FleetTarget target, Optional<String> via) {
+		this.grants++;
 		GrantOutcome outcome = this.lateOnce.remove(target.name()) ? GrantOutcome.UNKNOWN : reach(target, via);
 		if (outcome == GrantOutcome.UNKNOWN) {
 			this.late.add(new Late(this.now + 3000 * MS, target.name(), lease.range().keys(), lease.range().fence()));
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -48,6 +48,23 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against a new leader that renews all leases of a large fleet in one round,
+	 * which holds up its heartbeats, and against leases that it then forgets.
+	 */
+	@Test
+	void shouldSpreadTheRenewalsOfANewLeaderOverSeveralRounds() {
+		IntStream.range(4, 200).forEach((i) -> this.fleet.join("t-" + i, 1, "10.0.1." + i + ":80"));
+		settle();
+		this.fleet.lead();
+		int before = this.fleet.grants;
+		this.fleet.run(50);
+		assertThat(this.fleet.grants - before).isBetween(1, 40);
+		this.fleet.run(800);
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+		assertThat(this.fleet.grants - before).isGreaterThanOrEqualTo(200);
+	}
+
 	@Test
 	void shouldServeTheKeysOfASilentTargetAgainOnceItsLeaseEnded() {
 		settle();
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -144,6 +144,7 @@
 				(tcp) -> Link.accepted(tcp, node::received, node::ended));
 		ServerSocketChannel calls = loop.bind(settings.listen());
 		node.replica.start(node::applied);
+		ControlWarmup.start(dialect, events);
 		node.addGauges(events.metrics());
 		node.acceptCalls(calls, System.nanoTime() + CALLS_WAIT_NANOS);
 		loop.repeat(CONTROLLER_NANOS, node::tick);
--- /dev/null
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlWarmup.java
@@ -0,0 +1,115 @@
+package org.redwingramp.node.control;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.redwingramp.core.fleet.EntryReport;
+import org.redwingramp.core.fleet.FleetCommand;
+import org.redwingramp.core.fleet.FleetController;
+import org.redwingramp.core.fleet.FleetImage;
+import org.redwingramp.core.fleet.FleetOutput;
+import org.redwingramp.core.fleet.FleetState;
+import org.redwingramp.core.fleet.FleetTarget;
+import org.redwingramp.core.fleet.TargetHeartbeat;
+import org.redwingramp.core.ownership.KeyRange;
+import org.redwingramp.core.ownership.LeaseTiming;
+import org.redwingramp.core.ownership.RangeLease;
+import org.redwingramp.node.api.PlatformDialect;
+import org.redwingramp.node.events.EventWriter;
+import org.redwingramp.node.events.NodeEvent;
+import org.redwingramp.node.http.HttpServer;
+import org.redwingramp.node.link.LinkWarmup;
+import org.redwingramp.wire.CodecException;
+
+/**
+ * Loads the classes that a replica needs once it leads. It has a thread of its own, which
+ * uses the time in which the replica waits for its election: loaded by the loop, they
+ * would hold up the first heartbeats of a new leader for longer than the followers wait.
+ * Works on values of its own only, so it is safe beside the loop.
+ */
+final class ControlWarmup {
+
+	private static final String SERVICE = "s";
+
+	private static final int TARGETS = 2;
+
+	private final PlatformDialect dialect;
+
+	private final EventWriter events;
+
+	private ControlWarmup(PlatformDialect dialect, EventWriter events) {
+		this.dialect = dialect;
+		this.events = events;
+	}
+
+	static void start(PlatformDialect dialect, EventWriter events) {
+		Thread thread = new Thread(new ControlWarmup(dialect, events)::run, "warm-up");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	private void run() {
+		try {
+			HttpServer.warmUp();
+			LinkWarmup.entryMessages();
+			runController();
+			this.dialect.warmUp();
+		}
+		catch (CodecException | RuntimeException ex) {
+			this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", "warm up", "reason", ex);
+		}
+	}
+
+	private static void runController() {
+		FleetState state = new FleetState(FleetImage.EMPTY);
+		FleetController controller = new FleetController(state, new Committed(state), LeaseTiming.DEFAULT, 0);
+		controller.shardedServices(Set.of(SERVICE));
+		for (int i = 0; i < TARGETS; i++) {
+			FleetTarget target = new FleetTarget("t-" + i, 1, SERVICE, "127.0.0.1:" + (i + 1), "d", 1,
+					FleetTarget.Stage.SERVING);
+			controller.heartbeat(new TargetHeartbeat(target, 0, 1), 0).ifPresent((command) -> {
+				state.apply(command);
+				controller.applied(command, 0);
+			});
+		}
+		KeyRange half = new KeyRange(0, KeyRange.KEYS / 2);
+		state.apply(new FleetCommand.AssignKeys(SERVICE,
+				List.of(new FleetCommand.Move(half, state.targets().iterator().next().owner()))));
+		controller.report("e", new EntryReport(List.of(new EntryReport.TargetUse("t-0", 1, 1, 1)),
+				List.of(new EntryReport.KeyUse(SERVICE, 1, 1))), 0);
+		FleetController leader = new FleetController(state, new Committed(state), LeaseTiming.DEFAULT, 0);
+		leader.shardedServices(Set.of(SERVICE));
+		leader.tick(LeaseTiming.DEFAULT.renewNanos());
+		leader.viewTargets(0);
+		leader.viewKeys();
+	}
+
+	/**
+	 * Commits at once and sends nothing.
+	 */
+	private record Committed(FleetState state) implements FleetOutput {
+
+		@Override
+		public void propose(FleetCommand command) {
+			this.state.apply(command);
+		}
+
+		@Override
+		public void grant(RangeLease lease, FleetTarget target, Optional<String> via) {
+			// There is no target.
+		}
+
+		@Override
+		public void release(RangeLease lease, FleetTarget target, Optional<String> via) {
+			// There is no target.
+		}
+
+		@Override
+		public void decision(String event, Object... details) {
+			// Not a decision about the fleet.
+		}
+
+	}
+
+}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.function.Supplier;
 
+import org.eclipse.jetty.http.HttpParser;
+
 import org.redwingramp.node.loop.EventLoop;
 
 /**
@@ -72,6 +74,14 @@
 		loop.repeat(SWEEP_NANOS, this::sweep);
 	}
 
+	/**
+	 * Loads the parser of requests, which takes a good part of a second of a small
+	 * instance. Thread safe.
+	 */
+	public static void warmUp() {
+		HttpParser.CACHE.size();
+	}
+
 	/**
 	 * Closes idle connections and lets each other one end with its response. New
 	 * connections are still served.
