Show which entry instances lag behind the leader's views

Gauges: entry_queued_bytes_max, entry_behind_millis_max. Sessions and confirmations move from ControlNode to EntrySessions; what is sent and when stays as it was.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -3,11 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -55,11 +51,14 @@
 	/** The time between two rounds of the controller. */
 	private static final long CONTROLLER_NANOS = 50 * MILLISECOND;
 
-	/** An entry instance that is silent for longer is no longer waited for. */
-	private static final long ENTRY_SILENT_NANOS = 1200 * MILLISECOND;
+	/**
+	 * How long a replica that was suspended doesn't act. The entry instances and the
+	 * other replicas are heard again by then.
+	 */
+	private static final long AFTER_SUSPENSION_NANOS = 1200 * MILLISECOND;
 
-	/** How long an operator's answer waits for entry instances to apply the change. */
-	private static final long CONFIRM_NANOS = 300 * MILLISECOND;
+	/** The time between two checks for entry instances that have fallen behind. */
+	private static final long BEHIND_CHECK_NANOS = 500 * MILLISECOND;
 
 	private static final long RELAY_TIMEOUT_NANOS = 1300 * MILLISECOND;
 
@@ -93,11 +92,7 @@
 
 	private final TargetCalls calls;
 
-	private final Map<Link, EntrySession> sessions = new HashMap<>();
-
-	private final Map<Link, LinkMessage.EntryHello> entryLinks = new LinkedHashMap<>();
-
-	private final List<Confirmation> confirmations = new ArrayList<>();
+	private final EntrySessions entries;
 
 	private Optional<FleetController> controller = Optional.empty();
 
@@ -125,6 +120,7 @@
 		this.events = events;
 		this.replica = new ReplicaHost(loop, settings, events);
 		this.calls = new TargetCalls(loop, dialect, this::mayAct);
+		this.entries = new EntrySessions(loop, events);
 	}
 
 	/**
@@ -148,6 +144,7 @@
 		node.addGauges(events.metrics());
 		node.acceptCalls(calls, System.nanoTime() + CALLS_WAIT_NANOS);
 		loop.repeat(CONTROLLER_NANOS, node::tick);
+		loop.repeat(BEHIND_CHECK_NANOS, () -> node.entries.checkBehind(System.nanoTime()));
 		loop.afterEachRound(node::flush);
 		return node;
 	}
@@ -190,11 +187,11 @@
 	}
 
 	private void addGauges(NodeMetrics metrics) {
+		this.entries.addGauges(metrics);
 		metrics.gauge("leading", () -> this.controller.isPresent() ? 1 : 0);
 		metrics.gauge("term", () -> this.replica.term());
 		metrics.gauge("config_version", () -> this.replica.state().configVersion());
 		metrics.gauge("targets", () -> this.replica.state().targets().size());
-		metrics.gauge("entry_instances", () -> this.sessions.size());
 		metrics.gauge("leases", () -> this.controller.map(FleetController::leaseCount).orElse(0L));
 		metrics.gauge("leases_not_serving", () -> this.controller.map(FleetController::idleLeaseCount).orElse(0L));
 	}
@@ -202,7 +199,7 @@
 	private void tick() {
 		noticeSuspension();
 		follow();
-		dropSilentEntries();
+		this.entries.dropSilent(System.nanoTime());
 		if (this.controller.isPresent() && mayAct()) {
 			this.controller.get().tick(System.nanoTime());
 		}
@@ -215,7 +212,7 @@
 		if (Math.abs(offset - this.wallOffsetMillis) > SUSPENDED_MILLIS) {
 			this.events.log(NodeEvent.CONTROLLER_DECISION, "decision", "suspension-noticed", "millis",
 					offset - this.wallOffsetMillis);
-			this.suspendedUntilNanos = System.nanoTime() + ENTRY_SILENT_NANOS;
+			this.suspendedUntilNanos = System.nanoTime() + AFTER_SUSPENSION_NANOS;
 		}
 		this.wallOffsetMillis = offset;
 	}
@@ -228,7 +225,7 @@
 	private void follow() {
 		if (this.controller.isPresent() && !this.replica.leads()) {
 			this.controller = Optional.empty();
-			confirmAll();
+			this.entries.end();
 			this.events.log(NodeEvent.CONTROLLER_DECISION, "decision", "leadership-ended", "term", this.replica.term());
 		}
 		if (this.controller.isEmpty() && this.replica.leads() && this.replica.current()) {
@@ -243,7 +240,7 @@
 		readConfig();
 		// Entry instances refuse all requests until they have a view, so it is sent
 		// before the controller's first round.
-		this.entryLinks.forEach((link, hello) -> follow(link, hello.entry(), hello.configVersion()));
+		this.entries.begin();
 		tellLeader();
 		flush();
 		this.events.log(NodeEvent.CONTROLLER_DECISION, "decision", "leadership-began", "term", this.replica.term(),
@@ -275,7 +272,7 @@
 		LinkMessage.LeaderInfo info = leaderInfo();
 		if (!info.equals(this.leaderTold)) {
 			this.leaderTold = info;
-			List.copyOf(this.entryLinks.keySet()).forEach((link) -> link.send(info));
+			this.entries.tell(info);
 		}
 	}
 
@@ -284,17 +281,9 @@
 				this.replica.replicaNames());
 	}
 
-	private void dropSilentEntries() {
-		long now = System.nanoTime();
-		List.copyOf(this.entryLinks.keySet())
-			.stream()
-			.filter((link) -> now - link.heardNanos() > 2 * ENTRY_SILENT_NANOS)
-			.forEach(Link::close);
-	}
-
 	private void received(Link link, LinkMessage message) {
 		if (message instanceof LinkMessage.EntryHello hello) {
-			this.entryLinks.put(link, hello);
+			this.entries.hello(link, hello);
 			link.send(leaderInfo());
 			follow(link, hello.entry(), hello.configVersion());
 		}
@@ -302,8 +291,7 @@
 			report(link, report);
 		}
 		else if (message instanceof LinkMessage.RelayReply reply) {
-			Optional.ofNullable(this.sessions.get(link))
-				.ifPresent((session) -> session.relayed(reply.number(), reply.reply()));
+			this.entries.session(link).ifPresent((session) -> session.relayed(reply.number(), reply.reply()));
 		}
 		else {
 			this.replica.received(message);
@@ -319,25 +307,23 @@
 	}
 
 	private void follow(Link link, String entry, long configVersion) {
-		if (this.controller.isPresent() && !this.sessions.containsKey(link)) {
-			this.sessions.put(link, new EntrySession(link, entry, configVersion));
+		if (this.controller.isPresent()) {
+			this.entries.follow(link, entry, configVersion);
 		}
 	}
 
 	private void report(Link link, LinkMessage.Report report) {
 		follow(link, report.entry(), 0);
 		link.send(leaderInfo());
-		EntrySession session = this.sessions.get(link);
-		if (session != null && this.controller.isPresent()) {
-			session.acknowledged = (report.term() == this.replica.term()) ? report.sequence() : 0;
-			this.controller.get().report(report.entry(), report.report(), System.nanoTime());
-			confirm();
+		if (this.controller.isPresent()) {
+			long now = System.nanoTime();
+			this.entries.acknowledged(link, (report.term() == this.replica.term()) ? report.sequence() : 0, now);
+			this.controller.get().report(report.entry(), report.report(), now);
 		}
 	}
 
 	private void ended(Link link) {
-		this.entryLinks.remove(link);
-		this.sessions.remove(link);
+		this.entries.ended(link);
 	}
 
 	private void applied(FleetCommand command, FleetResult result) {
@@ -370,7 +356,6 @@
 	// Sends what changed in this round of events to the entry instances.
 	private void flush() {
 		if (this.controller.isEmpty()) {
-			this.sessions.clear();
 			return;
 		}
 		FleetController running = this.controller.get();
@@ -382,7 +367,7 @@
 			this.sentConfig = configVersion;
 			this.sequence++;
 		}
-		this.sessions.values().forEach(this::update);
+		this.entries.all().forEach(this::update);
 	}
 
 	private void update(EntrySession session) {
@@ -397,11 +382,11 @@
 		session.configVersion = state.configVersion();
 		session.targetChanges = this.sentTargets;
 		session.keyChanges = this.sentKeys;
-		session.link()
-			.send(new LinkMessage.View(new FleetView(this.replica.term(), this.sequence, state.configVersion(),
-					config ? Optional.of(state.document()) : Optional.empty(),
-					targets ? Optional.of(running.viewTargets(System.nanoTime())) : Optional.empty(),
-					keys ? Optional.of(running.viewKeys()) : Optional.empty())));
+		long now = System.nanoTime();
+		session.send(new FleetView(this.replica.term(), this.sequence, state.configVersion(),
+				config ? Optional.of(state.document()) : Optional.empty(),
+				targets ? Optional.of(running.viewTargets(now)) : Optional.empty(),
+				keys ? Optional.of(running.viewKeys()) : Optional.empty()), now);
 	}
 
 	private void handle(HttpExchange exchange) {
@@ -507,7 +492,8 @@
 			return;
 		}
 		switch (result.get().outcome()) {
-			case ACCEPTED -> confirmLater(reply);
+			case ACCEPTED -> this.entries.confirmLater(this.sequence + 1, result.get().configVersion(),
+					() -> reply.accept(accepted()));
 			case ALREADY_ACCEPTED -> reply.accept(accepted());
 			case WRONG_BASE -> reply.accept(
 					ControlAnswer.of(Kind.WRONG_VERSION, "version " + result.get().configVersion() + " is in force"));
@@ -516,47 +502,10 @@
 		}
 	}
 
-	// The operator hears of a change once the entry instances have it, if they are quick.
-	private void confirmLater(Consumer<ControlAnswer> reply) {
-		Confirmation confirmation = new Confirmation(this.sequence + 1, reply);
-		this.confirmations.add(confirmation);
-		this.loop.schedule(CONFIRM_NANOS, () -> confirm(confirmation));
-	}
-
-	private void confirm() {
-		long now = System.nanoTime();
-		long least = this.sessions.values()
-			.stream()
-			.filter((session) -> now - session.link().heardNanos() < ENTRY_SILENT_NANOS)
-			.mapToLong((session) -> session.acknowledged)
-			.min()
-			.orElse(Long.MAX_VALUE);
-		this.confirmations.stream().filter((open) -> open.sequence() <= least).toList().forEach(this::confirm);
-	}
-
-	private void confirm(Confirmation confirmation) {
-		if (this.confirmations.remove(confirmation)) {
-			confirmation.reply().accept(accepted());
-		}
-	}
-
-	private void confirmAll() {
-		List.copyOf(this.confirmations).forEach(this::confirm);
-	}
-
 	private static long wallOffset() {
 		return System.currentTimeMillis() - System.nanoTime() / MILLISECOND;
 	}
 
-	/**
-	 * An operator's answer that waits for the entry instances.
-	 *
-	 * @param sequence the sequence of the view that they must have
-	 * @param reply sends the answer
-	 */
-	private record Confirmation(long sequence, Consumer<ControlAnswer> reply) {
-	}
-
 	/**
 	 * Carries out what the controller decides.
 	 */
@@ -604,10 +553,7 @@
 		}
 
 		private void send(FleetTarget target, GrantCall call, Optional<String> via, Consumer<GrantReply> reply) {
-			Optional<EntrySession> session = via.flatMap((name) -> ControlNode.this.sessions.values()
-				.stream()
-				.filter((open) -> open.name().equals(name))
-				.findFirst());
+			Optional<EntrySession> session = via.flatMap(ControlNode.this.entries::session);
 			if (session.isPresent()) {
 				long number = session.get().relay(this.term, target.address(), call, reply);
 				ControlNode.this.loop.schedule(RELAY_TIMEOUT_NANOS,
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
@@ -1,9 +1,12 @@
 package org.redwingramp.node.control;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 
+import org.redwingramp.core.fleet.FleetView;
 import org.redwingramp.node.api.GrantCall;
 import org.redwingramp.node.api.GrantReply;
 import org.redwingramp.node.link.Link;
@@ -21,6 +24,8 @@
 
 	private final Map<Long, Consumer<GrantReply>> relayed = new HashMap<>();
 
+	private final Deque<SentView> unacknowledged = new ArrayDeque<>();
+
 	private long nextCall = 1;
 
 	long configVersion;
@@ -29,7 +34,9 @@
 
 	long keyChanges = -1;
 
-	long acknowledged;
+	private long acknowledged;
+
+	boolean behind;
 
 	EntrySession(Link link, String name, long configVersion) {
 		this.link = link;
@@ -45,6 +52,25 @@
 		return this.name;
 	}
 
+	long acknowledgedSequence() {
+		return this.acknowledged;
+	}
+
+	void send(FleetView view, long now) {
+		this.unacknowledged.add(new SentView(view.sequence(), now));
+		this.link.send(new LinkMessage.View(view));
+	}
+
+	void acknowledged(long sequence) {
+		this.acknowledged = sequence;
+		this.unacknowledged.removeIf((sent) -> sent.sequence() <= sequence);
+	}
+
+	// Returns the age of the oldest view that the entry instance hasn't acknowledged.
+	long behindNanos(long now) {
+		return this.unacknowledged.isEmpty() ? 0 : now - this.unacknowledged.peek().sentNanos();
+	}
+
 	long relay(long term, String address, GrantCall call, Consumer<GrantReply> reply) {
 		long number = this.nextCall++;
 		this.relayed.put(number, reply);
@@ -59,4 +85,7 @@
 		}
 	}
 
+	private record SentView(long sequence, long sentNanos) {
+	}
+
 }
--- /dev/null
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
@@ -0,0 +1,173 @@
+package org.redwingramp.node.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import org.redwingramp.node.events.EventWriter;
+import org.redwingramp.node.events.NodeEvent;
+import org.redwingramp.node.events.NodeMetrics;
+import org.redwingramp.node.link.Link;
+import org.redwingramp.node.link.LinkMessage;
+import org.redwingramp.node.loop.EventLoop;
+
+/**
+ * The entry instances that are connected to this replica and, while it leads, what each
+ * of them has acknowledged. Not thread safe; it belongs to the loop's thread.
+ */
+final class EntrySessions {
+
+	private static final long MILLISECOND = 1_000_000L;
+
+	/** An entry instance that is silent for longer is no longer waited for. */
+	static final long SILENT_NANOS = 1200 * MILLISECOND;
+
+	/** How long an operator's answer waits for entry instances to apply the change. */
+	private static final long CONFIRM_NANOS = 300 * MILLISECOND;
+
+	/**
+	 * An entry instance whose oldest unacknowledged view is older is logged. Half the
+	 * time in which the platform wants a change in force.
+	 */
+	private static final long BEHIND_NANOS = 1000 * MILLISECOND;
+
+	/** The most entry instances that one log line names. */
+	private static final int MAX_NAMES = 5;
+
+	private final EventLoop loop;
+
+	private final EventWriter events;
+
+	private final Map<Link, LinkMessage.EntryHello> links = new LinkedHashMap<>();
+
+	private final Map<Link, EntrySession> sessions = new HashMap<>();
+
+	private final List<Confirmation> confirmations = new ArrayList<>();
+
+	EntrySessions(EventLoop loop, EventWriter events) {
+		this.loop = loop;
+		this.events = events;
+	}
+
+	void addGauges(NodeMetrics metrics) {
+		metrics.gauge("entry_instances", () -> this.sessions.size());
+		metrics.gauge("entry_queued_bytes_max",
+				() -> this.sessions.keySet().stream().mapToLong(Link::queuedBytes).max().orElse(0));
+		metrics.gauge("entry_behind_millis_max", () -> maxBehindNanos(System.nanoTime()) / MILLISECOND);
+	}
+
+	void hello(Link link, LinkMessage.EntryHello hello) {
+		this.links.put(link, hello);
+	}
+
+	void ended(Link link) {
+		this.links.remove(link);
+		this.sessions.remove(link);
+	}
+
+	void tell(LinkMessage message) {
+		List.copyOf(this.links.keySet()).forEach((link) -> link.send(message));
+	}
+
+	void dropSilent(long now) {
+		List.copyOf(this.links.keySet())
+			.stream()
+			.filter((link) -> now - link.heardNanos() > 2 * SILENT_NANOS)
+			.forEach(Link::close);
+	}
+
+	// Begins a leadership: each connected entry instance follows it.
+	void begin() {
+		this.links.forEach((link, hello) -> follow(link, hello.entry(), hello.configVersion()));
+	}
+
+	// Ends a leadership. What was waiting for confirmation is committed.
+	void end() {
+		this.sessions.clear();
+		List.copyOf(this.confirmations).forEach(this::confirm);
+	}
+
+	void follow(Link link, String entry, long configVersion) {
+		this.sessions.computeIfAbsent(link, (key) -> new EntrySession(link, entry, configVersion));
+	}
+
+	Optional<EntrySession> session(Link link) {
+		return Optional.ofNullable(this.sessions.get(link));
+	}
+
+	Optional<EntrySession> session(String entry) {
+		return this.sessions.values().stream().filter((open) -> open.name().equals(entry)).findFirst();
+	}
+
+	Collection<EntrySession> all() {
+		return this.sessions.values();
+	}
+
+	void acknowledged(Link link, long sequence, long now) {
+		session(link).ifPresent((session) -> session.acknowledged(sequence));
+		long least = awaited(now).stream().mapToLong(EntrySession::acknowledgedSequence).min().orElse(Long.MAX_VALUE);
+		this.confirmations.stream().filter((open) -> open.sequence() <= least).toList().forEach(this::confirm);
+	}
+
+	// An operator hears of a change once the entry instances have it, if they are quick.
+	void confirmLater(long sequence, long configVersion, Runnable reply) {
+		Confirmation confirmation = new Confirmation(sequence, configVersion, System.nanoTime(), reply);
+		this.confirmations.add(confirmation);
+		this.loop.schedule(CONFIRM_NANOS, () -> confirm(confirmation));
+	}
+
+	// Logs the entry instances that fall behind or have caught up.
+	void checkBehind(long now) {
+		this.sessions.values().forEach((session) -> {
+			boolean behind = session.behindNanos(now) > BEHIND_NANOS;
+			if (behind != session.behind) {
+				session.behind = behind;
+				this.events.log(NodeEvent.ENTRY_BEHIND, "entry", session.name(), "behind", behind, "millis",
+						session.behindNanos(now) / MILLISECOND, "queued-bytes", session.link().queuedBytes(),
+						"acknowledged", session.acknowledgedSequence(), "sent-config", session.configVersion);
+			}
+		});
+	}
+
+	private long maxBehindNanos(long now) {
+		return this.sessions.values().stream().mapToLong((session) -> session.behindNanos(now)).max().orElse(0);
+	}
+
+	private List<EntrySession> awaited(long now) {
+		return this.sessions.values()
+			.stream()
+			.filter((session) -> now - session.link().heardNanos() < SILENT_NANOS)
+			.toList();
+	}
+
+	private void confirm(Confirmation confirmation) {
+		if (this.confirmations.remove(confirmation)) {
+			long now = System.nanoTime();
+			List<EntrySession> missing = awaited(now).stream()
+				.filter((session) -> session.acknowledgedSequence() < confirmation.sequence())
+				.toList();
+			this.events.log(NodeEvent.CHANGE_CONFIRMED, "version", confirmation.configVersion(), "view",
+					confirmation.sequence(), "millis", (now - confirmation.sinceNanos()) / MILLISECOND,
+					"entry-instances", this.sessions.size(), "without-it", missing.size(), "names",
+					missing.stream().limit(MAX_NAMES).map(EntrySession::name).collect(Collectors.joining(" ")));
+			confirmation.reply().run();
+		}
+	}
+
+	/**
+	 * An operator's answer that waits for the entry instances.
+	 *
+	 * @param sequence the sequence of the view that they must have
+	 * @param configVersion the version of the configuration in that view
+	 * @param sinceNanos since when it waits
+	 * @param reply sends the answer
+	 */
+	private record Confirmation(long sequence, long configVersion, long sinceNanos, Runnable reply) {
+	}
+
+}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
@@ -59,6 +59,9 @@
 	/** A call of a former leader wasn't passed on to a target. */
 	RELAY_REFUSED(7206, true),
 
+	/** An entry instance doesn't acknowledge views in time, or does again. */
+	ENTRY_BEHIND(7207, true),
+
 	/** This replica's role changed. */
 	ROLE_CHANGED(7301, false),
 
@@ -71,6 +74,9 @@
 	/** A command was committed. */
 	COMMITTED(7304, false),
 
+	/** An operator's change is acknowledged. */
+	CHANGE_CONFIRMED(7306, false),
+
 	/** The data folder is damaged or can't be written. */
 	STORAGE_FAILED(7305, true);
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/Link.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/Link.java
@@ -97,6 +97,14 @@
 		return this.heardNanos;
 	}
 
+	/**
+	 * Returns how many bytes wait for the other side to take them.
+	 * @return the number of bytes
+	 */
+	public long queuedBytes() {
+		return this.tcp.queuedBytes();
+	}
+
 	/**
 	 * Ends the link.
 	 */
