--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
@@ -9,11 +9,14 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 
 import org.redwingramp.node.events.EventWriter;
 import org.redwingramp.node.loop.EventLoop;
@@ -65,6 +68,19 @@
 		this.running.add(new Running(name, loop, ended));
 	}
 
+	InetSocketAddress peerAddress(String name) {
+		return new InetSocketAddress(name, this.peerPort);
+	}
+
+	// Removes the disk of a replica that was stopped.
+	void wipe(String name) throws IOException {
+		try (Stream<Path> files = Files.walk(this.folder.resolve(name))) {
+			for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+				Files.delete(file);
+			}
+		}
+	}
+
 	void stop(String name) throws Exception {
 		for (Running replica : List.copyOf(this.running)) {
 			if (replica.name().equals(name)) {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.stream.Stream;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -26,6 +27,11 @@
 
 	private static final String ADDED = "127.0.0.14";
 
+	private static final String FIFTH = "127.0.0.15";
+
+	/** In this time replicas that aren't seeds join a new group. */
+	private static final long JOIN_MILLIS = 3000;
+
 	@TempDir
 	private Path folder;
 
@@ -85,6 +91,29 @@
 		}
 	}
 
+	/**
+	 * Guards against a fleet without a leader, and without what it acknowledged, after
+	 * two replicas lost their disks at once: a group of three voters can't bear that.
+	 */
+	@Test
+	@Tag("known-red")
+	void shouldKeepWhatWasAcknowledgedWhenTwoReplicasLoseTheirDisks() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
+			control.start(ADDED, false);
+			control.start(FIFTH, false);
+			control.call("replace 0 5 one");
+			Thread.sleep(JOIN_MILLIS);
+			control.stop(SECOND);
+			control.stop(THIRD);
+			control.wipe(SECOND);
+			control.wipe(THIRD);
+			assertThat(control.call("read")).isEqualTo("DOCUMENT replace 0 5 one");
+			control.start(SECOND, false);
+			control.start(THIRD, false);
+			assertThat(control.call("replace 5 6 two")).startsWith("ACCEPTED");
+		}
+	}
+
 	@Test
 	void shouldNotAnswerWithoutAMajority() throws Exception {
 		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
@@ -75,8 +75,8 @@
 				new ControlRequest.ReplaceConfig(Long.parseLong(words[1]), Long.parseLong(words[2]), request.body());
 			case "read" -> new ControlRequest.ReadConfig();
 			case "out" -> new ControlRequest.SetDomainOut(words[1], true);
-			case "beat" -> new ControlRequest.Heartbeat(new TargetHeartbeat(
-					new FleetTarget(words[1], 1, "s", "127.0.0.1:1", "d", 1, FleetTarget.Stage.SERVING), 0,
+			case "beat" -> new ControlRequest.Heartbeat(new TargetHeartbeat(new FleetTarget(words[1], 1, "s",
+					"127.0.0.1:" + ((words.length > 2) ? words[2] : "1"), "d", 1, FleetTarget.Stage.SERVING), 0,
 					System.nanoTime()));
 			default -> new ControlRequest.Unknown();
 		};
