Give up answers of targets that don't end

A target in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes. A call then lasted until its timeout in four of ten kinds of heads (interim answers, answers to other requests, chunk extensions, chunk sizes), and 40 endless bodies at once were held with up to 16 MiB each, more than the heap of an entry instance.

A connection now counts the bytes around bodies and the answers before the awaited one, and all unfinished answers share 24 MiB, of which answers up to 256 KiB are always taken. Calls about keys take answers of 64 KiB at most. Gauge: unfinished_answer_bytes.

EndlessAnswerTests, with both checks switched off on a scratch copy (trial): 5 of 15 fail; with them none.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -10,6 +10,7 @@
 import org.redwingramp.node.api.GrantCall;
 import org.redwingramp.node.api.GrantReply;
 import org.redwingramp.node.api.PlatformDialect;
+import org.redwingramp.node.http.AnswerMemory;
 import org.redwingramp.node.http.CallFailure;
 import org.redwingramp.node.http.ClientListener;
 import org.redwingramp.node.http.HttpResponse;
@@ -43,6 +44,8 @@
 
 	private final BooleanSupplier mayGrant;
 
+	private final AnswerMemory memory = AnswerMemory.forCalls();
+
 	private final Map<String, Lane> lanes = new HashMap<>();
 
 	/**
@@ -64,7 +67,8 @@
 	 * @param reply hears the answer once
 	 */
 	public void send(String address, GrantCall call, Consumer<GrantReply> reply) {
-		Lane lane = this.lanes.computeIfAbsent(address, (key) -> new Lane(TargetConnections.to(this.loop, key)));
+		Lane lane = this.lanes.computeIfAbsent(address,
+				(key) -> new Lane(TargetConnections.to(this.loop, key, this.memory)));
 		if (call.release()) {
 			exchange(lane, call, RELEASE_TIMEOUT_NANOS, reply);
 		}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -171,6 +171,7 @@
 		metrics.gauge("control_silent_millis", () -> controlSilentMillis(System.nanoTime()));
 		metrics.gauge("targets", () -> this.view.targetCount());
 		metrics.gauge("target_connections_opened", () -> this.view.connectionsOpened());
+		metrics.gauge("unfinished_answer_bytes", () -> this.view.unfinishedAnswerBytes());
 		metrics.gauge("requests_waiting_for_owner", () -> this.waiting.size());
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -18,6 +18,7 @@
 import org.redwingramp.core.traffic.TrafficConfig;
 import org.redwingramp.node.api.InvalidDocumentException;
 import org.redwingramp.node.api.PlatformDialect;
+import org.redwingramp.node.http.AnswerMemory;
 import org.redwingramp.node.http.TargetConnections;
 import org.redwingramp.node.loop.EventLoop;
 
@@ -36,6 +37,8 @@
 
 	private final PlatformDialect dialect;
 
+	private final AnswerMemory answers = AnswerMemory.forAnswers();
+
 	private final Map<String, EntryTarget> targets = new HashMap<>();
 
 	private final Map<String, SplitCounter> splits = new HashMap<>();
@@ -133,6 +136,10 @@
 		return this.keys.getOrDefault(service, KeyOwners.NONE).owner(key);
 	}
 
+	long unfinishedAnswerBytes() {
+		return this.answers.heldBytes();
+	}
+
 	Optional<EntryTarget> target(String name) {
 		return Optional.ofNullable(this.targets.get(name));
 	}
@@ -171,8 +178,9 @@
 			known.update(view, now);
 		}
 		else {
-			this.targets.put(view.name(), new EntryTarget(view, TargetConnections.to(this.loop, view.address()),
-					new TargetTracker(view.slots(), FIRST_SERVICE_MILLIS, now), now));
+			this.targets.put(view.name(),
+					new EntryTarget(view, TargetConnections.to(this.loop, view.address(), this.answers),
+							new TargetTracker(view.slots(), FIRST_SERVICE_MILLIS, now), now));
 		}
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
@@ -26,8 +26,16 @@
 
 	private static final int MAX_HEADER_BYTES = 32 * 1024;
 
-	/** Larger responses are given up, since they are kept in memory until complete. */
-	private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+	/**
+	 * The most bytes besides bodies: a head, trailers, and the frames of small chunks,
+	 * each of which takes up to eight times its content.
+	 */
+	private static final long MAX_FRAMING_BYTES = 2 * MAX_HEADER_BYTES;
+
+	private static final int MAX_FRAMING_FACTOR = 8;
+
+	/** The most interim answers and answers to other requests before the awaited one. */
+	private static final int MAX_OTHER_ANSWERS = 16;
 
 	private static final int FIRST_FINAL_STATUS = 200;
 
@@ -44,8 +52,16 @@
 
 	private final HttpParser parser = new HttpParser(this, MAX_HEADER_BYTES, HttpCompliance.RFC9110);
 
+	private final AnswerMemory memory;
+
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
 
+	private long framingBytes;
+
+	private long contentBytes;
+
+	private int otherAnswers;
+
 	private List<Header> headers = new ArrayList<>();
 
 	private int status;
@@ -66,14 +82,18 @@
 
 	private long writtenBefore;
 
-	ClientConnection(EventLoop loop, InetSocketAddress address, TargetConnections owner) {
+	ClientConnection(EventLoop loop, InetSocketAddress address, TargetConnections owner, AnswerMemory memory) {
 		this.owner = owner;
+		this.memory = memory;
 		this.tcp = loop.connect(address, (connection) -> this);
 	}
 
 	void send(byte[] request, boolean head, ClientListener receiver) {
 		this.listener = receiver;
 		this.writtenBefore = this.tcp.writtenBytes();
+		this.framingBytes = 0;
+		this.contentBytes = 0;
+		this.otherAnswers = 0;
 		this.parser.setHeadResponse(head);
 		this.tcp.write(request);
 	}
@@ -100,6 +120,7 @@
 	void close() {
 		if (!this.ended) {
 			this.ended = true;
+			dropBody();
 			this.tcp.close();
 			this.owner.ended(this);
 		}
@@ -112,9 +133,10 @@
 			close();
 			return;
 		}
+		this.framingBytes += data.remaining();
 		while (data.hasRemaining() && !this.ended && this.listener != null) {
 			this.parser.parseNext(data);
-			if (this.malformed) {
+			if (this.malformed || endless()) {
 				fail(Cause.MALFORMED);
 			}
 			else if (this.complete) {
@@ -154,12 +176,14 @@
 		this.complete = false;
 		HttpResponse response = new HttpResponse(this.status, this.headers, this.body.toByteArray());
 		this.headers = new ArrayList<>();
-		this.body.reset();
+		dropBody();
 		if (response.status() < FIRST_FINAL_STATUS) {
+			this.otherAnswers++;
 			this.parser.reset();
 			return;
 		}
 		if (!this.listener.accepts(response)) {
+			this.otherAnswers++;
 			this.reusable = false;
 			this.parser.reset();
 			return;
@@ -179,6 +203,17 @@
 		receiver.answered(response);
 	}
 
+	// Returns whether there is more around bodies than any answer needs.
+	private boolean endless() {
+		return this.otherAnswers > MAX_OTHER_ANSWERS
+				|| this.framingBytes > MAX_FRAMING_BYTES + MAX_FRAMING_FACTOR * this.contentBytes;
+	}
+
+	private void dropBody() {
+		this.memory.giveBack(this.body.size());
+		this.body.reset();
+	}
+
 	private void fail(Cause cause) {
 		ClientListener receiver = this.listener;
 		this.listener = null;
@@ -217,8 +252,14 @@
 	public boolean content(ByteBuffer data) {
 		byte[] bytes = new byte[data.remaining()];
 		data.get(bytes);
-		this.body.writeBytes(bytes);
-		this.malformed |= this.body.size() > MAX_BODY_BYTES;
+		this.framingBytes -= bytes.length;
+		this.contentBytes += bytes.length;
+		if (this.memory.take(this.body.size(), bytes.length)) {
+			this.body.writeBytes(bytes);
+		}
+		else {
+			this.malformed = true;
+		}
 		return this.malformed;
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
@@ -27,6 +27,8 @@
 
 	private final InetSocketAddress address;
 
+	private final AnswerMemory memory;
+
 	private final Deque<ClientConnection> idle = new ArrayDeque<>();
 
 	private final Set<ClientConnection> open = new HashSet<>();
@@ -37,22 +39,26 @@
 	 * Creates an empty set of connections.
 	 * @param loop the event loop
 	 * @param address the target's address
+	 * @param memory where unfinished answers are counted
 	 */
-	public TargetConnections(EventLoop loop, InetSocketAddress address) {
+	public TargetConnections(EventLoop loop, InetSocketAddress address, AnswerMemory memory) {
 		this.loop = loop;
 		this.address = address;
+		this.memory = memory;
 	}
 
 	/**
 	 * Creates an empty set of connections.
 	 * @param loop the event loop
 	 * @param address the target's address, {@code ip:port}
+	 * @param memory where unfinished answers are counted
 	 * @return the connections
 	 */
-	public static TargetConnections to(EventLoop loop, String address) {
+	public static TargetConnections to(EventLoop loop, String address, AnswerMemory memory) {
 		int colon = address.lastIndexOf(':');
 		return new TargetConnections(loop,
-				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
+				memory);
 	}
 
 	/**
@@ -118,7 +124,7 @@
 
 	private ClientConnection open() {
 		this.opened++;
-		ClientConnection connection = new ClientConnection(this.loop, this.address, this);
+		ClientConnection connection = new ClientConnection(this.loop, this.address, this, this.memory);
 		this.open.add(connection);
 		return connection;
 	}
