Share limits among the entry instances that there are

The leader knows the entry instances that are linked to it, so a view now tells their number; one that lost its link counts for another 12 s. At least ten sharers are assumed, as before. A bucket for a target that turns cold begins with a random part of a token, so that a hundred instances don't all send their first request at once.

DispatchTests.shouldKeepAHundredEntryInstancesTogetherWithinAColdTargetsRate bounds each second by the platform's rate; with full buckets the first second has 100 requests.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdRate.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdRate.java
@@ -13,15 +13,18 @@
 	 */
 	private static final double MOST_TOKENS = 1;
 
-	private double tokens = MOST_TOKENS;
+	private double tokens;
 
 	private long filledNanos;
 
 	/**
-	 * Creates a full bucket.
+	 * Creates a bucket for a target that has just become cold.
 	 * @param now the monotonic time in nanoseconds
+	 * @param firstTokens what it holds, below 1; drawn at random, so that many entry
+	 * instances don't all send their first request in the same second
 	 */
-	public ColdRate(long now) {
+	public ColdRate(long now, double firstTokens) {
+		this.tokens = firstTokens;
 		this.filledNanos = now;
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetView.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetView.java
@@ -12,13 +12,15 @@
  * @param sequence rises with each change within the term
  * @param base the sequence of the view that it builds on, 0 if it is whole
  * @param configVersion the version of the configuration in force
+ * @param instances the entry instances that share limits
  * @param document the configuration as the operator sent it, if it changed
  * @param targets the targets that are new or changed
  * @param removedTargets the names of targets that are gone
  * @param keys the ranges whose owner changed, by service
  */
-public record FleetView(long term, long sequence, long base, long configVersion, Optional<byte[]> document,
-		List<ViewTarget> targets, List<String> removedTargets, Map<String, List<ViewRange>> keys) {
+public record FleetView(long term, long sequence, long base, long configVersion, int instances,
+		Optional<byte[]> document, List<ViewTarget> targets, List<String> removedTargets,
+		Map<String, List<ViewRange>> keys) {
 
 	/**
 	 * The bytes that a target, a range and the rest of a view take on a link, measured on
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/ViewState.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/ViewState.java
@@ -15,7 +15,7 @@
 public final class ViewState {
 
 	/** What an entry instance knows before its first view. */
-	public static final ViewState EMPTY = new ViewState(0, 0, Map.of(), Map.of());
+	public static final ViewState EMPTY = new ViewState(0, 0, 0, Map.of(), Map.of());
 
 	/**
 	 * Targets tell the rest of their cold time with each heartbeat, a little differently
@@ -27,13 +27,17 @@
 
 	private final long configVersion;
 
+	private final int instances;
+
 	private final Map<String, Known> targets;
 
 	private final Map<String, KeyOwners> keys;
 
-	private ViewState(long sequence, long configVersion, Map<String, Known> targets, Map<String, KeyOwners> keys) {
+	private ViewState(long sequence, long configVersion, int instances, Map<String, Known> targets,
+			Map<String, KeyOwners> keys) {
 		this.sequence = sequence;
 		this.configVersion = configVersion;
+		this.instances = instances;
 		this.targets = targets;
 		this.keys = keys;
 	}
@@ -42,18 +46,19 @@
 	 * Creates a state.
 	 * @param sequence its number, above 0
 	 * @param configVersion the version of the configuration in force
+	 * @param instances the entry instances that share limits
 	 * @param targets the targets
 	 * @param keys the owned ranges by service
 	 * @param nowMillis the monotonic time in milliseconds
 	 * @return the state
 	 */
-	public static ViewState of(long sequence, long configVersion, List<ViewTarget> targets,
+	public static ViewState of(long sequence, long configVersion, int instances, List<ViewTarget> targets,
 			Map<String, List<ViewRange>> keys, long nowMillis) {
 		Map<String, Known> known = new TreeMap<>();
 		targets.forEach((target) -> known.put(target.name(), Known.of(target, nowMillis)));
 		Map<String, KeyOwners> owners = new TreeMap<>();
 		keys.forEach((service, ranges) -> owners.put(service, KeyOwners.of(ranges)));
-		return new ViewState(sequence, configVersion, known, owners);
+		return new ViewState(sequence, configVersion, instances, known, owners);
 	}
 
 	/**
@@ -89,8 +94,8 @@
 			.stream()
 			.filter((name) -> !this.targets.containsKey(name))
 			.toList();
-		return new FleetView(term, this.sequence, former.sequence, this.configVersion, document, changed, removed,
-				changedKeys(former));
+		return new FleetView(term, this.sequence, former.sequence, this.configVersion, this.instances, document,
+				changed, removed, changedKeys(former));
 	}
 
 	/**
@@ -100,7 +105,8 @@
 	 * @return whether they differ in more than their number
 	 */
 	public boolean differs(ViewState other) {
-		return this.configVersion != other.configVersion || !this.targets.keySet().equals(other.targets.keySet())
+		return this.configVersion != other.configVersion || this.instances != other.instances
+				|| !this.targets.keySet().equals(other.targets.keySet())
 				|| this.targets.entrySet()
 					.stream()
 					.anyMatch((entry) -> entry.getValue().differs(other.targets.get(entry.getKey())))
--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/RetryBudget.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/RetryBudget.java
@@ -9,6 +9,13 @@
 	/** Counts a first send. */
 	void requested();
 
+	/**
+	 * Changes how many retries may be saved up. More than that are dropped, none are
+	 * added.
+	 * @param minimum the number of retries
+	 */
+	void saveAtMost(int minimum);
+
 	/**
 	 * Takes one retry from the budget.
 	 * @return whether the retry may be sent
--- a/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/RatioRetryBudget.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/routing/internal/RatioRetryBudget.java
@@ -7,7 +7,7 @@
  *
  * <p>
  * Invariant: over any run of requests the retries number at most the share of them plus
- * the minimum.
+ * the first minimum.
  */
 public final class RatioRetryBudget implements RetryBudget {
 
@@ -16,7 +16,7 @@
 
 	private final long share;
 
-	private final long most;
+	private long most;
 
 	private long tokens;
 
@@ -31,9 +31,8 @@
 					+ " is negative; correct the settings");
 		}
 		this.share = Math.round(share * RETRY);
-		// Below one whole token nothing could ever be saved up to a retry.
-		this.most = Math.max(1, minimum) * RETRY;
 		this.tokens = minimum * RETRY;
+		saveAtMost(minimum);
 	}
 
 	@Override
@@ -41,6 +40,13 @@
 		this.tokens = Math.min(this.most, this.tokens + this.share);
 	}
 
+	@Override
+	public void saveAtMost(int minimum) {
+		// Below one whole token nothing could ever be saved up to a retry.
+		this.most = Math.max(1, minimum) * RETRY;
+		this.tokens = Math.min(this.most, this.tokens);
+	}
+
 	@Override
 	public boolean tryRetry() {
 		boolean allowed = this.tokens >= RETRY;
--- a/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/DispatchTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/DispatchTests.java
@@ -1,5 +1,8 @@
 package org.redwingramp.core.dispatch;
 
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
@@ -54,7 +57,7 @@
 	@Test
 	void shouldKeepManyEntryInstancesTogetherWithinAColdTargetsRate() {
 		int instances = 10;
-		ColdRate[] rates = IntStream.range(0, instances).mapToObj((i) -> new ColdRate(0)).toArray(ColdRate[]::new);
+		ColdRate[] rates = IntStream.range(0, instances).mapToObj((i) -> new ColdRate(0, 1)).toArray(ColdRate[]::new);
 		long sent = 0;
 		for (long now = 0; now <= 1000 * MS; now += 5 * MS) {
 			for (ColdRate rate : rates) {
@@ -64,6 +67,26 @@
 		assertThat(sent).isLessThanOrEqualTo((long) (9.9 * 1.5 + 5));
 	}
 
+	/**
+	 * Guards against a large fleet of entry instances that each send a cold target their
+	 * first request in the same second, or take a tenth of its rate each.
+	 */
+	@Test
+	void shouldKeepAHundredEntryInstancesTogetherWithinAColdTargetsRate() {
+		int instances = 100;
+		Random random = new Random(1);
+		List<ColdRate> rates = IntStream.range(0, instances)
+			.mapToObj((i) -> new ColdRate(0, random.nextDouble()))
+			.toList();
+		long[] sent = new long[5];
+		for (long now = 0; now < 5000 * MS; now += 5 * MS) {
+			for (ColdRate rate : rates) {
+				sent[(int) (now / (1000 * MS))] += rate.tryTake(9.9, instances, now) ? 1 : 0;
+			}
+		}
+		assertThat(Arrays.stream(sent).max().orElseThrow()).isLessThanOrEqualTo((long) (9.9 * 1.5 + 5));
+	}
+
 	@Test
 	void shouldAvoidATargetThatFailsAndUseItAgain() {
 		assertThat(this.tracker.failed(0)).isFalse();
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ViewFeedTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ViewFeedTests.java
@@ -91,7 +91,7 @@
 	@Test
 	void shouldTellOfTargetsThatAreGoneAndOfServicesWithoutKeys() {
 		ViewState former = state(1, 1, 0);
-		ViewState next = ViewState.of(2, 1, List.of(), Map.of(), 0);
+		ViewState next = ViewState.of(2, 1, 1, List.of(), Map.of(), 0);
 		FleetView view = next.changesSince(former, 1, Optional.empty());
 		assertThat(view.removedTargets()).hasSize(200);
 		assertThat(view.keys().get("s")).containsExactly(new ViewRange(256, 65_535, ""));
@@ -106,7 +106,7 @@
 	}
 
 	private static ViewState cold(long sequence, long coldLeft, long now) {
-		return ViewState.of(sequence, 1, List.of(new ViewTarget("t", "s", "h:1", "d", 1, true, coldLeft)), Map.of(),
+		return ViewState.of(sequence, 1, 1, List.of(new ViewTarget("t", "s", "h:1", "d", 1, true, coldLeft)), Map.of(),
 				now);
 	}
 
@@ -118,7 +118,7 @@
 		List<ViewRange> ranges = IntStream.range(0, 256)
 			.mapToObj((i) -> new ViewRange(i * 256, i * 256 + 255, (i == moving % 256) ? "" : "t-" + i % 200))
 			.toList();
-		return ViewState.of(sequence, config, targets, Map.of("s", ranges), 0);
+		return ViewState.of(sequence, config, 1, targets, Map.of("s", ranges), 0);
 	}
 
 }
--- a/redwingramp-core/src/test/java/org/redwingramp/core/routing/RetryBudgetTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/routing/RetryBudgetTests.java
@@ -30,6 +30,17 @@
 		assertThat(IntStream.range(0, 1000).filter((i) -> this.budget.tryRetry()).count()).isEqualTo(MINIMUM);
 	}
 
+	/**
+	 * Guards against a fleet whose entry instances each save up the retries that all of
+	 * them together may send.
+	 */
+	@Test
+	void shouldDropWhatItSavedUpWhenItsPartShrinksAndAddNothingWhenItGrows() {
+		this.budget.saveAtMost(2);
+		this.budget.saveAtMost(MINIMUM);
+		assertThat(IntStream.range(0, 1000).filter((i) -> this.budget.tryRetry()).count()).isEqualTo(2);
+	}
+
 	/** Guards against a share that would multiply the load. */
 	@Test
 	void shouldRejectSharesOutsideItsRange() {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -57,8 +57,8 @@
 	 */
 	private static final long AFTER_SUSPENSION_NANOS = 1200 * MILLISECOND;
 
-	/** The time between two checks for entry instances that have fallen behind. */
-	private static final long BEHIND_CHECK_NANOS = 500 * MILLISECOND;
+	/** The time between two checks of the entry instances. */
+	private static final long ENTRY_CHECK_NANOS = 500 * MILLISECOND;
 
 	private static final long RELAY_TIMEOUT_NANOS = 1300 * MILLISECOND;
 
@@ -138,7 +138,7 @@
 		node.addGauges(events.metrics());
 		node.acceptCalls(calls, System.nanoTime() + CALLS_WAIT_NANOS);
 		loop.repeat(CONTROLLER_NANOS, node::tick);
-		loop.repeat(BEHIND_CHECK_NANOS, () -> node.entries.checkBehind(System.nanoTime()));
+		loop.repeat(ENTRY_CHECK_NANOS, () -> node.entries.check(System.nanoTime()));
 		loop.afterEachRound(node::flush);
 		return node;
 	}
@@ -496,9 +496,9 @@
 		}
 
 		@Override
-		public ViewState state(long sequence, long now) {
+		public ViewState state(long sequence, int instances, long now) {
 			FleetController running = ControlNode.this.controller.orElseThrow();
-			return ViewState.of(sequence, configVersion(), running.viewTargets(now), running.viewKeys(),
+			return ViewState.of(sequence, configVersion(), instances, running.viewTargets(now), running.viewKeys(),
 					now / MILLISECOND);
 		}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.redwingramp.core.fleet.ViewFeed;
@@ -38,6 +40,12 @@
 	 */
 	private static final long BEHIND_NANOS = 1000 * MILLISECOND;
 
+	/**
+	 * An entry instance shares limits for this long after its last link ended, the time
+	 * after which it serves no more keys without a leader.
+	 */
+	private static final long STILL_COUNTED_NANOS = 12_000 * MILLISECOND;
+
 	/** The most entry instances that one log line names. */
 	private static final int MAX_NAMES = 5;
 
@@ -51,8 +59,14 @@
 
 	private final List<Confirmation> confirmations = new ArrayList<>();
 
+	private final Map<String, Long> leftNanos = new HashMap<>();
+
 	private ViewState current = ViewState.EMPTY;
 
+	private int instances;
+
+	private int builtInstances;
+
 	private long builtChanges;
 
 	EntrySessions(EventLoop loop, EventWriter events) {
@@ -62,6 +76,7 @@
 
 	void addGauges(NodeMetrics metrics) {
 		metrics.gauge("entry_instances", () -> this.sessions.size());
+		metrics.gauge("entry_instances_sharing", () -> this.instances);
 		metrics.gauge("entry_queued_bytes_max",
 				() -> this.sessions.keySet().stream().mapToLong(Link::queuedBytes).max().orElse(0));
 		metrics.gauge("entry_behind_millis_max", () -> maxBehindNanos(System.nanoTime()) / MILLISECOND);
@@ -69,11 +84,23 @@
 
 	void hello(Link link, LinkMessage.EntryHello hello) {
 		this.links.put(link, hello);
+		countInstances(System.nanoTime());
 	}
 
 	void ended(Link link) {
-		this.links.remove(link);
 		this.sessions.remove(link);
+		LinkMessage.EntryHello hello = this.links.remove(link);
+		if (hello != null) {
+			this.leftNanos.put(hello.entry(), System.nanoTime());
+		}
+	}
+
+	// An instance that lost its link may still send requests on its last view.
+	private void countInstances(long now) {
+		this.leftNanos.values().removeIf((left) -> now - left > STILL_COUNTED_NANOS);
+		Set<String> names = new HashSet<>(this.leftNanos.keySet());
+		this.links.values().forEach((hello) -> names.add(hello.entry()));
+		this.instances = names.size();
 	}
 
 	void tell(LinkMessage message) {
@@ -119,11 +146,13 @@
 	}
 
 	private void refresh(ViewSource source, long now) {
-		if (source.changes() == this.builtChanges && source.configVersion() == this.current.configVersion()) {
+		if (source.changes() == this.builtChanges && source.configVersion() == this.current.configVersion()
+				&& this.instances == this.builtInstances) {
 			return;
 		}
 		this.builtChanges = source.changes();
-		ViewState next = source.state(this.current.sequence() + 1, now);
+		this.builtInstances = this.instances;
+		ViewState next = source.state(this.current.sequence() + 1, this.instances, now);
 		if (next.differs(this.current)) {
 			this.current = next;
 		}
@@ -165,7 +194,8 @@
 	}
 
 	// Logs the entry instances that fall behind or have caught up.
-	void checkBehind(long now) {
+	void check(long now) {
+		countInstances(now);
 		this.sessions.values().forEach((session) -> {
 			boolean behind = session.feed().behindNanos(now) > BEHIND_NANOS;
 			if (behind != session.behind) {
@@ -217,7 +247,7 @@
 		// Returns a number that changes with the targets and keys.
 		long changes();
 
-		ViewState state(long sequence, long now);
+		ViewState state(long sequence, int instances, long now);
 
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -275,6 +275,7 @@
 
 	private void taken(FleetView update) {
 		this.unacknowledgedBytes += update.estimatedBytes();
+		this.budgets.values().forEach((budget) -> budget.saveAtMost(retryMinimum()));
 		if (update.document().isPresent() || this.unacknowledgedBytes >= ViewFeed.ACKNOWLEDGE_BYTES) {
 			this.control.reportNow();
 		}
@@ -319,9 +320,13 @@
 		this.waiting.remove(run);
 	}
 
+	private int retryMinimum() {
+		return this.settings.retryMinimum() / this.view.sharers();
+	}
+
 	RetryBudget budget(String service) {
 		return this.budgets.computeIfAbsent(service,
-				(name) -> RetryBudgets.ratio(this.settings.retryShare(), this.settings.retryMinimum()));
+				(name) -> RetryBudgets.ratio(this.settings.retryShare(), retryMinimum()));
 	}
 
 	double expectedMillis(Route route) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntrySettings.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntrySettings.java
@@ -13,7 +13,7 @@
  * @param peerPort the port for links between processes, the same on all instances
  * @param seeds the IP addresses of known control replicas
  * @param retryShare the repeated sends allowed for each request
- * @param retryMinimum the repeated sends allowed besides
+ * @param retryMinimum the repeated sends allowed besides, of all entry instances together
  * @param graceNanos the time between the signal to stop and the end of the process
  */
 public record EntrySettings(String instance, String domain, InetSocketAddress listen, InetSocketAddress readiness,
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
@@ -1,5 +1,7 @@
 package org.redwingramp.node.entry;
 
+import java.util.concurrent.ThreadLocalRandom;
+
 import org.redwingramp.core.dispatch.ColdRate;
 import org.redwingramp.core.dispatch.TargetTracker;
 import org.redwingramp.core.fleet.EntryReport;
@@ -16,7 +18,7 @@
 
 	private final TargetTracker tracker;
 
-	private final ColdRate coldRate;
+	private ColdRate coldRate;
 
 	private ViewTarget view;
 
@@ -31,13 +33,13 @@
 	EntryTarget(ViewTarget view, TargetConnections connections, TargetTracker tracker, long now) {
 		this.connections = connections;
 		this.tracker = tracker;
-		this.coldRate = new ColdRate(now);
+		this.coldUntilNanos = now;
 		update(view, now);
 	}
 
 	void update(ViewTarget next, long now) {
 		this.view = next;
-		this.coldUntilNanos = now + next.coldLeftMillis() * 1_000_000;
+		coldUntil(now + next.coldLeftMillis() * 1_000_000, now);
 	}
 
 	ViewTarget view() {
@@ -61,7 +63,14 @@
 	}
 
 	void coldFor(long millis, long now) {
-		this.coldUntilNanos = Math.max(this.coldUntilNanos, now + millis * 1_000_000);
+		coldUntil(Math.max(this.coldUntilNanos, now + millis * 1_000_000), now);
+	}
+
+	private void coldUntil(long nanos, long now) {
+		if (this.coldRate == null || !cold(now)) {
+			this.coldRate = new ColdRate(now, ThreadLocalRandom.current().nextDouble());
+		}
+		this.coldUntilNanos = nanos;
 	}
 
 	boolean takeColdToken(double perSecond, int instances, long now) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -30,6 +30,12 @@
  */
 final class EntryView {
 
+	/**
+	 * Limits are shared among at least this many entry instances: a new leader has to
+	 * hear them all before it can tell their number.
+	 */
+	private static final int MIN_SHARERS = 10;
+
 	/** The service time assumed for a target before its first answer, in milliseconds. */
 	private static final double FIRST_SERVICE_MILLIS = 100;
 
@@ -53,6 +59,8 @@
 
 	private long configVersion;
 
+	private int instances;
+
 	private long term;
 
 	private long sequence;
@@ -91,6 +99,7 @@
 		update.keys()
 			.forEach((service, changes) -> this.keys.merge(service, KeyOwners.of(changes),
 					(former, whole) -> former.with(changes)));
+		this.instances = update.instances();
 		this.term = update.term();
 		this.sequence = update.sequence();
 		return Outcome.TAKEN;
@@ -148,6 +157,11 @@
 		return this.configVersion;
 	}
 
+	// Returns the number of entry instances that limits are shared among.
+	int sharers() {
+		return Math.max(MIN_SHARERS, this.instances);
+	}
+
 	long term() {
 		return this.term;
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestRun.java
@@ -44,12 +44,6 @@
 	/** The most sends of one request, those refused for their key included. */
 	private static final int MAX_SENDS = 5;
 
-	/**
-	 * The entry instances that share a cold target's rate. An upper bound for deployments
-	 * of today's size.
-	 */
-	private static final int COLD_SHARERS = 10;
-
 	private static final int MISDIRECTED = 421;
 
 	private static final int FIRST_SERVER_ERROR = 500;
@@ -207,7 +201,7 @@
 			.map(ServiceSpec::coldPerSecond)
 			.filter((rate) -> rate > 0)
 			.orElse(Double.MAX_VALUE);
-		if (!candidate.takeColdToken(coldPerSecond, COLD_SHARERS, now)) {
+		if (!candidate.takeColdToken(coldPerSecond, this.node.view().sharers(), now)) {
 			giveUp(Refusal.COLD, UNKNOWN_RETRY_MILLIS);
 			return;
 		}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
@@ -38,7 +38,7 @@
 	 * @return the view
 	 */
 	public static FleetView sampleView() {
-		return new FleetView(1, 1, 0, 0, Optional.of(new byte[1]),
+		return new FleetView(1, 1, 0, 0, 1, Optional.of(new byte[1]),
 				List.of(new FleetView.ViewTarget("t", "s", "127.0.0.1:1", "d", 1, true, 0)), List.of("u"),
 				Map.of("s", List.of(new FleetView.ViewRange(0, 1, "t"))));
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -59,7 +59,7 @@
 		this.loop.listen(local(peerPort), (tcp) -> Link.accepted(tcp, this::received, (link) -> {
 		}));
 		EntrySettings settings = new EntrySettings("test", "d", local(this.port), local(freePort()), peerPort,
-				List.of("127.0.0.1"), 0.2, 5, 1_000_000_000L);
+				List.of("127.0.0.1"), 0.2, 50, 1_000_000_000L);
 		EntryNode.start(this.loop, settings, new PlainDialect(), this.events);
 		Thread thread = new Thread(this::run, "loop");
 		thread.setDaemon(true);
@@ -75,7 +75,7 @@
 		List<ViewTarget> list = java.util.stream.IntStream.range(0, targets.length)
 			.mapToObj((i) -> new ViewTarget("t-" + i, "s", targets[i].address(), "d", 3, true, 0))
 			.toList();
-		FleetView view = new FleetView(1, this.sequence, 0, 1, Optional.of(new byte[] { 1 }), list, List.of(),
+		FleetView view = new FleetView(1, this.sequence, 0, 1, 1, Optional.of(new byte[] { 1 }), list, List.of(),
 				Map.of("s", List.of(new ViewRange(0, 65_535, name))));
 		CompletableFuture<Void> sent = new CompletableFuture<>();
 		this.loop.post(() -> {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
@@ -63,7 +63,7 @@
 
 	@Test
 	void shouldForgetWhatAWholeViewLacks() throws Exception {
-		FleetView next = new FleetView(6, 1, 0, 7, Optional.empty(), List.of(target("c")), List.of(),
+		FleetView next = new FleetView(6, 1, 0, 7, 1, Optional.empty(), List.of(target("c")), List.of(),
 				Map.of("s", List.of(new ViewRange(0, 9, "c"))));
 		assertThat(apply(next)).isEqualTo(Outcome.TAKEN);
 		assertThat(this.view.target("a")).isEmpty();
@@ -77,12 +77,12 @@
 	}
 
 	private static FleetView whole(long term, long sequence, long config, String owner) {
-		return new FleetView(term, sequence, 0, config, Optional.of(new byte[] { (byte) config }),
+		return new FleetView(term, sequence, 0, config, 1, Optional.of(new byte[] { (byte) config }),
 				List.of(target("a"), target("b")), List.of(), Map.of("s", List.of(new ViewRange(0, 65_535, owner))));
 	}
 
 	private static FleetView changes(long term, long sequence, long base, String owner) {
-		return new FleetView(term, sequence, base, 7, Optional.empty(), List.of(), List.of(),
+		return new FleetView(term, sequence, base, 7, 1, Optional.empty(), List.of(), List.of(),
 				Map.of("s", List.of(new ViewRange(0, 99, owner))));
 	}
 
