Name the leader also from replicas outside the group

The leader now answers a sign of life of another replica with who leads, and a replica outside the group goes by that for 1.2 s.

ControlNodeTests.shouldNameTheLeaderOutsideTheGroup; on the code before, the log of shouldKeepWhatWasAcknowledgedWhenTwoReplicasLoseTheirDisks has UNAVAILABLE from both replicas that had not joined.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -295,9 +295,13 @@
 		}
 	}
 
-	// The opener of a link only hears that it works if something comes back.
+	// The opener of a link only hears that it works if something comes back. It may be a
+	// replica outside the group, which learns of the leader this way only.
 	private void acknowledgeHello(Link link) {
 		link.send(this.replica.hello());
+		if (this.controller.isPresent()) {
+			link.send(leaderInfo());
+		}
 	}
 
 	private void follow(Link link, String entry, long configVersion) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -57,6 +57,9 @@
 	private static final ConsensusTiming TIMING = new ConsensusTiming(80 * MILLISECOND, 300 * MILLISECOND,
 			600 * MILLISECOND, 0.02);
 
+	/** Three signs of life between replicas, each of which the leader answers. */
+	private static final long TOLD_LEADER_NANOS = 1200 * MILLISECOND;
+
 	/** The time between two ticks; a part of the heartbeat's. */
 	private static final long TICK_NANOS = 40 * MILLISECOND;
 
@@ -107,6 +110,10 @@
 
 	private long nextProposal = 1;
 
+	private Optional<String> toldLeader = Optional.empty();
+
+	private long toldLeaderNanos;
+
 	private boolean writing;
 
 	private boolean carrying;
@@ -162,8 +169,14 @@
 		return this.replica.term();
 	}
 
+	// A replica outside the group hears nothing of elections, so it goes by what the
+	// leader itself said last.
 	Optional<String> leader() {
-		return this.replica.leader().map(ReplicaId::name);
+		boolean voter = this.replica.membership()
+			.filter((group) -> group.voters().contains(this.replica.id()))
+			.isPresent();
+		boolean fresh = System.nanoTime() - this.toldLeaderNanos < TOLD_LEADER_NANOS;
+		return this.replica.leader().map(ReplicaId::name).or(() -> this.toldLeader.filter((name) -> !voter && fresh));
 	}
 
 	List<String> replicaNames() {
@@ -203,6 +216,10 @@
 			this.peers.learn(hello.replica().name());
 			handle(new ReplicaEvent.PeerSeen(hello.replica(), hello.blank()));
 		}
+		else if (message instanceof LinkMessage.LeaderInfo info && info.leading()) {
+			this.toldLeader = Optional.of(info.leader());
+			this.toldLeaderNanos = System.nanoTime();
+		}
 		else if (message instanceof LinkMessage.Consensus consensus) {
 			handle(new ReplicaEvent.Received(consensus.sender(), consensus.message()));
 		}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
@@ -112,6 +112,24 @@
 		}
 	}
 
+	/**
+	 * Guards against callers that are sent away by replicas which aren't members of the
+	 * group, though these hear the leader.
+	 */
+	@Test
+	void shouldNameTheLeaderOutsideTheGroup() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
+			control.start(ADDED, false);
+			assertThat(control.call("replace 0 5 one")).startsWith("ACCEPTED");
+			String answer = "";
+			for (int i = 0; i < ROUNDS && !answer.startsWith("LEADER_IS"); i++) {
+				Thread.sleep(100);
+				answer = control.callOnce(ADDED, "read");
+			}
+			assertThat(answer).startsWith("LEADER_IS 127.0.0.1");
+		}
+	}
+
 	@Test
 	void shouldNotAnswerWithoutAMajority() throws Exception {
 		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
