Bring the ranges of a key map together again

Beyond two ranges for each target, small ranges with little work go to the owner of a neighbouring range, and neighbouring ranges of one owner get a common fence by one command, after which one call renews them. The owner serves them all the while; the joined lease ends with the latest of its parts, and the owner confirms the new fence before it may be told to release. Joining and placing keys wait for each other's commands.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -66,6 +66,9 @@
 	 */
 	private static final int MAX_GRANTS = 40;
 
+	/** The most runs of neighbouring ranges that one command joins. */
+	private static final int MAX_JOINS = 16;
+
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final FleetState state;
@@ -289,7 +292,10 @@
 		if (now - this.balancedNanos >= BALANCE_NANOS) {
 			this.balancedNanos = now;
 			this.loads.values().forEach((load) -> load.decay(now));
-			this.shardedServices.forEach((service) -> balance(service, now));
+			this.shardedServices.forEach((service) -> {
+				balance(service, now);
+				join(service, now);
+			});
 		}
 	}
 
@@ -520,8 +526,7 @@
 
 	private void balance(String service, long now) {
 		List<RangeLease> all = this.leases.of(service);
-		long moving = all.stream().filter((lease) -> !lease.serving()).count();
-		if (moving >= MAX_MOVING) {
+		if (all.stream().filter((lease) -> !lease.serving()).count() >= MAX_MOVING) {
 			return;
 		}
 		List<OwnedRange> movable = all.stream()
@@ -531,7 +536,34 @@
 			.map(RangeLease::range)
 			.toList();
 		List<Bin> bins = bins(service, now, List.of());
-		this.planner.balance(bins, movable, load(service, now)).forEach((shift) -> start(service, shift, now));
+		List<Shift> shifts = new ArrayList<>(this.planner.balance(bins, movable, load(service, now)));
+		Set<Owner> moving = shifts.stream()
+			.flatMap((shift) -> Stream.of(shift.owner(), shift.receiver()))
+			.collect(Collectors.toSet());
+		shifts.addAll(this.planner.tidy(bins, all.stream().map(RangeLease::range).toList(), Set.copyOf(movable), moving,
+				load(service, now)));
+		shifts.forEach((shift) -> start(service, shift, now));
+	}
+
+	// Gives neighbouring ranges of one owner a common fence, so that one call renews
+	// them.
+	private void join(String service, long now) {
+		if (this.placing.containsKey(service)) {
+			return;
+		}
+		List<Move> joined = this.leases
+			.joinable(service,
+					(lease) -> lease.phase() == Phase.HELD && lease.serving() && !lease.lateGrantPossible(now)
+							&& ownerReachable(lease, now))
+			.stream()
+			.limit(MAX_JOINS)
+			.map((range) -> new Move(range.keys(), range.owner()))
+			.toList();
+		if (!joined.isEmpty()) {
+			joined.forEach((move) -> this.output.decision("join", "service", service, "keys", text(move.keys()),
+					"target", move.owner().target()));
+			proposeOnce(new AssignKeys(service, joined));
+		}
 	}
 
 	private boolean ownerReachable(RangeLease lease, long now) {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyPlanner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyPlanner.java
@@ -2,8 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
@@ -35,6 +40,15 @@
 	/** A target with less than this part of the mean weight counts as having no keys. */
 	private static final double EMPTY_PART = 0.35;
 
+	/**
+	 * Beyond this many ranges for each target, small ones go back to a neighbour's owner.
+	 * Each range is renewed by a call of its own.
+	 */
+	private static final int RANGES_PER_TARGET = 2;
+
+	/** A range that uses less of its target's slots may go to any neighbour's owner. */
+	private static final double SMALL_USE = 0.05;
+
 	/** The most moves planned at once. */
 	private static final int MAX_MOVES = 8;
 
@@ -96,6 +110,65 @@
 		return shifts;
 	}
 
+	/**
+	 * Plans moves of small ranges with little work to the owner of a neighbouring range,
+	 * so that the ranges that moves of hot keys left behind become one again.
+	 * @param bins the targets that may own keys
+	 * @param all all ranges in the order of their keys
+	 * @param movable those that may move
+	 * @param moving the targets that take part in other moves of this round
+	 * @param load the work of the keys
+	 * @return the moves, the smallest ranges first
+	 */
+	public List<Shift> tidy(List<Bin> bins, List<OwnedRange> all, Set<OwnedRange> movable, Set<Owner> moving,
+			KeyLoad load) {
+		if (all.size() <= RANGES_PER_TARGET * bins.size()) {
+			return List.of();
+		}
+		Map<Owner, Bin> byOwner = bins.stream().collect(Collectors.toMap(Bin::owner, (bin) -> bin));
+		Map<Owner, Long> count = all.stream().collect(Collectors.groupingBy(OwnedRange::owner, Collectors.counting()));
+		List<Shift> shifts = new ArrayList<>();
+		Set<Owner> involved = new HashSet<>(moving);
+		IntStream.range(0, all.size())
+			.boxed()
+			.filter((i) -> movable.contains(all.get(i)) && count.get(all.get(i).owner()) > 1)
+			.sorted(Comparator.comparingInt((i) -> all.get(i).keys().size()))
+			.forEach((i) -> {
+				OwnedRange range = all.get(i);
+				double work = load.of(range.keys());
+				double limit = Optional.ofNullable(byOwner.get(range.owner())).map(Bin::use).orElse(CALM_USE);
+				if (shifts.size() >= MAX_MOVES || involved.contains(range.owner())) {
+					return;
+				}
+				neighbours(all, i).map((neighbour) -> byOwner.get(neighbour.owner()))
+					.filter((bin) -> bin != null && !involved.contains(bin.owner()) && hasRoom(bin, work, limit))
+					.min(Comparator.comparingDouble(Bin::use))
+					.ifPresent((bin) -> {
+						shifts.add(new Shift(range.keys(), range.owner(), bin.owner()));
+						bin.work(work);
+						involved.add(range.owner());
+						involved.add(bin.owner());
+					});
+			});
+		return shifts;
+	}
+
+	// Returns whether a target stays calm, or no busier than the present owner.
+	private static boolean hasRoom(Bin bin, double work, double ownersUse) {
+		double added = work * bin.usePerWork();
+		return added <= SMALL_USE && bin.use() + added <= Math.max(CALM_USE, ownersUse);
+	}
+
+	private static Stream<OwnedRange> neighbours(List<OwnedRange> all, int index) {
+		OwnedRange range = all.get(index);
+		return IntStream.of(index - 1, index + 1)
+			.filter((i) -> i >= 0 && i < all.size())
+			.mapToObj(all::get)
+			.filter((other) -> !other.owner().equals(range.owner()))
+			.filter((other) -> other.keys().last() + 1 == range.keys().first()
+					|| range.keys().last() + 1 == other.keys().first());
+	}
+
 	// Gives keys to targets that have almost none, for example because they just joined.
 	private static void spread(List<Bin> bins, List<OwnedRange> pieces, KeyLoad load, List<Shift> shifts) {
 		double mean = bins.stream().mapToDouble(Bin::fill).average().orElse(0);
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
@@ -93,12 +94,15 @@
 	public void follow(String service, KeyMap keys, long now) {
 		TreeMap<Integer, RangeLease> leases = this.byService.computeIfAbsent(service, (name) -> new TreeMap<>());
 		List<RangeLease> outdated = leases.values().stream().filter((lease) -> !covers(keys, lease.range())).toList();
-		outdated.forEach((lease) -> {
-			KeyRange part = lease.range().keys();
-			leases.remove(part.first());
-			keys.find(part.first())
-				.filter((range) -> range.keys().equals(part) && range.owner().equals(lease.range().owner()))
-				.ifPresent((range) -> leases.put(part.first(), lease.refenced(range, now)));
+		outdated.forEach((lease) -> leases.remove(lease.range().keys().first()));
+		keys.ranges().forEach((range) -> {
+			List<RangeLease> parts = outdated.stream()
+				.filter((lease) -> lease.range().owner().equals(range.owner())
+						&& lease.range().keys().overlaps(range.keys()))
+				.toList();
+			if (tile(parts, range.keys())) {
+				leases.put(range.keys().first(), RangeLease.refenced(parts, range, now));
+			}
 		});
 		keys.ranges().forEach((range) -> uncovered(leases, range.keys()).forEach((part) -> {
 			long end = (this.phaseOfNew == RangeLease.Phase.HELD) ? this.timing.endOf(now) : now;
@@ -175,6 +179,39 @@
 		return moved;
 	}
 
+	/**
+	 * Returns the neighbouring ranges of one owner that may become one.
+	 * @param service the service
+	 * @param ready tells which leases may be joined
+	 * @return each run of neighbours as a whole, with its owner
+	 */
+	public List<OwnedRange> joinable(String service, Predicate<RangeLease> ready) {
+		List<OwnedRange> joined = new ArrayList<>();
+		OwnedRange run = null;
+		int parts = 0;
+		for (RangeLease lease : of(service)) {
+			OwnedRange next = lease.range();
+			boolean neighbour = run != null && ready.test(lease) && run.owner().equals(next.owner())
+					&& run.keys().last() + 1 == next.keys().first();
+			if (neighbour) {
+				parts++;
+				run = run.with(new KeyRange(run.keys().first(), next.keys().last()));
+				continue;
+			}
+			addRun(joined, run, parts);
+			run = ready.test(lease) ? next : null;
+			parts = 1;
+		}
+		addRun(joined, run, parts);
+		return joined;
+	}
+
+	private static void addRun(List<OwnedRange> joined, OwnedRange run, int parts) {
+		if (run != null && parts > 1) {
+			joined.add(run);
+		}
+	}
+
 	/**
 	 * Notes that a grant is sent.
 	 * @param lease the lease
@@ -275,6 +312,18 @@
 			.isPresent();
 	}
 
+	// Returns whether the leases, which are in order, make up the whole range.
+	private static boolean tile(List<RangeLease> parts, KeyRange keys) {
+		int next = keys.first();
+		for (RangeLease part : parts) {
+			if (part.range().keys().first() != next) {
+				return false;
+			}
+			next = part.range().keys().last() + 1;
+		}
+		return !parts.isEmpty() && next == keys.last() + 1;
+	}
+
 	private static List<KeyRange> uncovered(TreeMap<Integer, RangeLease> leases, KeyRange keys) {
 		List<KeyRange> parts = new ArrayList<>();
 		int next = keys.first();
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
@@ -1,5 +1,6 @@
 package org.redwingramp.core.ownership;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -44,13 +45,20 @@
 		this.answered = phase == Phase.HELD;
 	}
 
-	// The same range under a new fence of the same owner, who goes on serving it.
-	RangeLease refenced(OwnedRange next, long now) {
-		RangeLease lease = new RangeLease(this.service, next, Phase.TO_GRANT, this.lastSentNanos, this.endNanos);
+	// The ranges of one owner under a new fence, who goes on serving them.
+	static RangeLease refenced(List<RangeLease> parts, OwnedRange next, long now) {
+		RangeLease first = parts.get(0);
+		RangeLease lease = new RangeLease(first.service, next, Phase.TO_GRANT, first.lastSentNanos, first.endNanos);
 		lease.lateGrantUntilNanos = now;
-		lease.sinceNanos = this.sinceNanos;
-		lease.answered = this.answered;
+		lease.sinceNanos = first.sinceNanos;
+		lease.answered = first.answered;
 		lease.confirmFirst = true;
+		parts.forEach((part) -> {
+			lease.lastSentNanos = Math.min(lease.lastSentNanos, part.lastSentNanos);
+			lease.endNanos = Math.max(lease.endNanos, part.endNanos);
+			lease.sinceNanos = Math.max(lease.sinceNanos, part.sinceNanos);
+			lease.answered &= part.answered;
+		});
 		return lease;
 	}
 
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -207,6 +207,28 @@
 		assertThat(owners).isGreaterThanOrEqualTo(3);
 	}
 
+	/**
+	 * Guards against a key map that grows all day as hot keys come and go: each range is
+	 * renewed by a call of its own, until the leader can't renew them all.
+	 */
+	@Test
+	void shouldHaveFewRangesAgainOnceHotKeysHaveMovedOn() {
+		IntStream.range(4, 20).forEach((i) -> this.fleet.join("t-" + i, 1, "10.0.1." + i + ":80"));
+		settle();
+		long most = 0;
+		for (int i = 0; i < 300; i++) {
+			int first = 3000 * (i / 15);
+			List<KeyUse> hot = IntStream.range(first, first + 200).mapToObj((key) -> new KeyUse("s", key, 14)).toList();
+			this.fleet.controller.report("front-1", new EntryReport(List.of(), hot), this.fleet.now);
+			this.fleet.run(100);
+			most = Math.max(most, this.fleet.controller.leaseCount());
+		}
+		this.fleet.run(15_000);
+		assertThat(most).isGreaterThan(40);
+		assertThat(this.fleet.controller.leaseCount()).isLessThanOrEqualTo(40);
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
 	private void settle() {
 		this.fleet.run(3000);
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
--- a/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
@@ -42,6 +42,36 @@
 		assertThat(lease.endNanos()).isEqualTo(LeaseTiming.DEFAULT.endOf(START));
 	}
 
+	/**
+	 * Guards against keys that nobody serves, or that another target gets too early,
+	 * while neighbouring ranges of one owner get a common fence.
+	 */
+	@Test
+	void shouldKeepJoinedRangesServedAndHeldUntilTheLatestOfTheirLeasesEnds() {
+		RangeLease whole = confirmed();
+		RangeLease part = this.table.split(whole, new KeyRange(100, 199));
+		long later = START + 500 * MS;
+		this.table.grantSent(part, later);
+		this.table.grantReturned(part, GrantOutcome.CONFIRMED);
+		List<OwnedRange> joined = this.table.joinable("s", RangeLease::serving);
+		assertThat(joined).hasSize(1);
+		this.keys.assign(new OwnedRange(joined.get(0).keys(), OWNER, 2));
+		this.table.follow("s", this.keys, later + MS);
+		RangeLease lease = this.table.find("s", KeyRange.ALL).orElseThrow();
+		assertThat(this.table.of("s")).hasSize(1);
+		assertThat(lease.serving()).isTrue();
+		assertThat(lease.confirmFirst()).isTrue();
+		assertThat(lease.endNanos()).isEqualTo(LeaseTiming.DEFAULT.endOf(later));
+		assertThat(this.table.grantDue(lease, START + 900 * MS)).isTrue();
+	}
+
+	@Test
+	void shouldNotJoinRangesThatAreOnTheMove() {
+		RangeLease part = this.table.split(confirmed(), new KeyRange(100, 199));
+		this.table.releaseSent(part, START + MS);
+		assertThat(this.table.joinable("s", RangeLease::serving)).isEmpty();
+	}
+
 	@Test
 	void shouldFreeAReleasedRangeAtOnce() {
 		RangeLease lease = confirmed();
