Connect once more within the caller's time

Cause: a connection has 300 ms to be open and authenticated, after which the watch closes it; the call was then given up, whatever time was left. Such a refusal is true, but needless. A call now connects a second time.

--- a/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/CallPool.java
+++ b/redwingramp-wire/src/main/java/org/redwingramp/wire/internal/CallPool.java
@@ -82,7 +82,18 @@
 		if (this.closed) {
 			throw new NotSentException("The links are closed");
 		}
-		return this.dialer.dial(remaining(end));
+		return dial(end);
+	}
+
+	// A process that has just started may be slow to authenticate. While the caller has
+	// time left, one failed attempt is no reason to refuse the call.
+	private PeerConnection dial(long end) throws NotSentException {
+		try {
+			return this.dialer.dial(remaining(end));
+		}
+		catch (NotSentException ex) {
+			return this.dialer.dial(remaining(end));
+		}
 	}
 
 	// Tests a connection that was idle, so that a call is not lost on one that delivers
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
@@ -93,6 +93,18 @@
 		assertThat(this.fixture.call("last")).isEqualTo("last");
 	}
 
+	// Guards against a call that isn't sent, though its caller has time left, since the
+	// first connection took too long to authenticate: seen after a restart of the peer on
+	// a busy machine.
+	@Test
+	void shouldConnectAgainWithinTheCallersTimeWhenTheFirstConnectionIsSlow() throws Exception {
+		try (StallingProxy proxy = new StallingProxy(this.fixture.port())) {
+			proxy.stallNext();
+			assertThat(this.fixture.links.call(proxy.address(), Kind.FORWARD, new byte[10], WireFixture.SECOND))
+				.isNotNull();
+		}
+	}
+
 	// Guards against messages that go on vanishing into a silent connection: consensus
 	// must be back well within the gate lease of 700 ms.
 	@Test
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/StallingProxy.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/StallingProxy.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * Passes bytes between links and a server, and can silently stop to do so on the
@@ -20,6 +21,8 @@
 
 	private final Set<Socket> stalled = ConcurrentHashMap.newKeySet();
 
+	private final AtomicBoolean stallsNext = new AtomicBoolean();
+
 	private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
 	StallingProxy(int server) throws IOException {
@@ -32,6 +35,11 @@
 		return "127.0.0.1:" + this.port.getLocalPort();
 	}
 
+	/** Stops the next connection from its beginning. */
+	void stallNext() {
+		this.stallsNext.set(true);
+	}
+
 	/** Stops all connections that are open now; new ones work. */
 	void stall() {
 		this.stalled.addAll(this.open);
@@ -42,6 +50,10 @@
 			while (true) {
 				Socket near = this.port.accept();
 				Socket far = new Socket(InetAddress.getLoopbackAddress(), this.server);
+				if (this.stallsNext.getAndSet(false)) {
+					this.stalled.add(near);
+					this.stalled.add(far);
+				}
 				start(() -> pass(near, far));
 				start(() -> pass(far, near));
 			}
