--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/SlowEntry.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/SlowEntry.java
@@ -45,7 +45,7 @@
 		reader.start();
 	}
 
-	// Returns when a version of the configuration was read, or empty-handed 0.
+	// Returns when a version of the configuration was read, 0 if it hasn't been.
 	long configReadNanos(long version) {
 		return this.configReadNanos.getOrDefault(version, 0L);
 	}
@@ -75,8 +75,7 @@
 			}
 		}
 		catch (IOException | CodecException ex) {
-			// The test closes the connection; what was read until then is compared.
-			this.views = Math.max(this.views, 0);
+			// The test has closed the connection.
 		}
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessAnswerTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessAnswerTests.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -61,8 +60,8 @@
 	}
 
 	@ParameterizedTest
-	@EnumSource
-	void shouldGiveUpAnEndlessHeadSoon(EndlessHead head) throws Exception {
+	@EnumSource(mode = EnumSource.Mode.MATCH_ALL, names = "HEAD_.*")
+	void shouldGiveUpAnEndlessHeadSoon(Endless head) throws Exception {
 		try (EndlessTarget target = new EndlessTarget(head.start, head.repeated)) {
 			long began = System.nanoTime();
 			Object outcome = call(target).get();
@@ -73,8 +72,8 @@
 	}
 
 	@ParameterizedTest
-	@EnumSource
-	void shouldGiveUpAnEndlessBodyByItsTimeout(EndlessBody body) throws Exception {
+	@EnumSource(mode = EnumSource.Mode.MATCH_ALL, names = "BODY_.*")
+	void shouldGiveUpAnEndlessBodyByItsTimeout(Endless body) throws Exception {
 		try (EndlessTarget target = new EndlessTarget(body.start, body.repeated)) {
 			assertThat(call(target).get()).isInstanceOf(CallFailure.class);
 			target.awaitClosed();
@@ -84,7 +83,7 @@
 	/** Guards against endless bodies that together take more memory than there is. */
 	@Test
 	void shouldHoldLittleOfManyEndlessBodiesAtOnce() throws Exception {
-		try (EndlessTarget target = new EndlessTarget(EndlessBody.UNFRAMED.start, EndlessBody.UNFRAMED.repeated)) {
+		try (EndlessTarget target = new EndlessTarget(Endless.BODY_UNFRAMED.start, Endless.BODY_UNFRAMED.repeated)) {
 			List<CompletableFuture<Object>> calls = new ArrayList<>();
 			for (int i = 0; i < PARALLEL; i++) {
 				calls.add(call(target));
@@ -104,7 +103,7 @@
 	@Test
 	void shouldStillTakeAWholeAnswerBesideEndlessOnes() throws Exception {
 		String whole = "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n";
-		try (EndlessTarget endless = new EndlessTarget(EndlessBody.UNFRAMED.start, EndlessBody.UNFRAMED.repeated);
+		try (EndlessTarget endless = new EndlessTarget(Endless.BODY_UNFRAMED.start, Endless.BODY_UNFRAMED.repeated);
 				EndlessTarget target = new EndlessTarget(whole, "x")) {
 			for (int i = 0; i < PARALLEL; i++) {
 				call(endless);
@@ -156,40 +155,25 @@
 		}
 	}
 
-	/** Heads that never end. */
-	enum EndlessHead {
+	/** Answers that never end, in their head or in their body. */
+	enum Endless {
 
-		NO_PROTOCOL("", "garbage "), STATUS_LINE("HTTP/1.1 200 ", "O"), FIELD("HTTP/1.1 200 OK\r\nA: ", "b"),
-		FIELDS("HTTP/1.1 200 OK\r\n", "Name: value\r\n"), EMPTY_LINES("", "\r\n"),
-		INTERIM("", "HTTP/1.1 102 Processing\r\n\r\n"),
-		ANSWERS_TO_OTHERS("", "HTTP/1.1 299 Other\r\nContent-Length: 1\r\n\r\nx"),
-		TRAILERS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"),
-		CHUNK_EXTENSION("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "x=y;"),
-		CHUNK_SIZE("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0");
+		HEAD_NO_PROTOCOL("", "garbage "), HEAD_STATUS_LINE("HTTP/1.1 200 ", "O"),
+		HEAD_FIELD("HTTP/1.1 200 OK\r\nA: ", "b"), HEAD_FIELDS("HTTP/1.1 200 OK\r\n", "Name: value\r\n"),
+		HEAD_EMPTY_LINES("", "\r\n"), HEAD_INTERIM("", "HTTP/1.1 102 Processing\r\n\r\n"),
+		HEAD_ANSWERS_TO_OTHERS("", "HTTP/1.1 299 Other\r\nContent-Length: 1\r\n\r\nx"),
+		HEAD_TRAILERS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"),
+		HEAD_CHUNK_EXTENSION("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "x=y;"),
+		HEAD_CHUNK_SIZE("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
+		BODY_UNFRAMED("HTTP/1.1 200 OK\r\n\r\n", "x"),
+		BODY_CHUNKED("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"),
+		BODY_DECLARED("HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", "x");
 
 		final String start;
 
 		final String repeated;
 
-		EndlessHead(String start, String repeated) {
-			this.start = start;
-			this.repeated = repeated;
-		}
-
-	}
-
-	/** Bodies that never end. */
-	enum EndlessBody {
-
-		UNFRAMED("HTTP/1.1 200 OK\r\n\r\n", "x"),
-		CHUNKED("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"),
-		DECLARED("HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", "x");
-
-		final String start;
-
-		final String repeated;
-
-		EndlessBody(String start, String repeated) {
+		Endless(String start, String repeated) {
 			this.start = start;
 			this.repeated = repeated;
 		}
@@ -208,8 +192,6 @@
 
 		private final AtomicInteger open = new AtomicInteger();
 
-		private final AtomicLong written = new AtomicLong();
-
 		private final byte[] start;
 
 		private final byte[] repeated;
@@ -244,7 +226,7 @@
 				}
 			}
 			catch (IOException ex) {
-				this.written.get();
+				// Closed.
 			}
 		}
 
@@ -253,7 +235,6 @@
 				out.write(this.start);
 				while (true) {
 					out.write(this.repeated);
-					this.written.addAndGet(this.repeated.length);
 				}
 			}
 			catch (IOException ex) {
