Grant keys in the replies to heartbeats

Change: GrantDelivery has two implementations over the same lease table. In the reply to a heartbeat the leader lists all ranges of the target; a range that is left out is free once a later heartbeat reports its release, or when the lease has ended. A lease that a pending command takes away is not renewed, in either mode: until now an expired lease of a target that came back could be renewed while its reassignment was on its way to the log. Time without an owner is logged with each grant.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -24,12 +24,14 @@
 import org.redwingramp.core.ownership.KeyPlanner.Bin;
 import org.redwingramp.core.ownership.KeyPlanner.RangeMove;
 import org.redwingramp.core.ownership.KeyRange;
+import org.redwingramp.core.ownership.LeaseRenewal;
 import org.redwingramp.core.ownership.LeaseTable;
 import org.redwingramp.core.ownership.LeaseTiming;
 import org.redwingramp.core.ownership.OwnedRange;
 import org.redwingramp.core.ownership.Owner;
 import org.redwingramp.core.ownership.RangeLease;
 import org.redwingramp.core.ownership.RangeLease.Phase;
+import org.redwingramp.core.traffic.GrantMode;
 
 /**
  * Manages targets and key ownership on the control leader. It tracks the health of
@@ -64,13 +66,6 @@
 	 */
 	private static final long MIN_MOVE_INTERVAL_NANOS = 1_500_000_000L;
 
-	/**
-	 * Maximum number of grants sent in one tick. A new leader has to renew all leases at
-	 * once; doing so in a single tick would delay its heartbeats. At 20 ticks per second
-	 * it renews 640 leases within the renewal interval.
-	 */
-	private static final int MAX_GRANTS_PER_TICK = 40;
-
 	/** Maximum number of groups of adjacent ranges that one command merges. */
 	private static final int MAX_MERGES_PER_COMMAND = 16;
 
@@ -94,9 +89,11 @@
 
 	private final KeyPlanner planner = new KeyPlanner();
 
-	private Set<String> shardedServices = Set.of();
+	private final CallDelivery callDelivery;
 
-	private int remainingGrants;
+	private final HeartbeatDelivery heartbeatDelivery;
+
+	private Map<String, GrantMode> shardedServices = Map.of();
 
 	private long lastBalanceNanos;
 
@@ -115,6 +112,8 @@
 		this.state = state;
 		this.output = output;
 		this.leases = new LeaseTable(timing);
+		this.callDelivery = new CallDelivery(this, this.leases, output);
+		this.heartbeatDelivery = new HeartbeatDelivery(this, this.leases, output, timing);
 		state.targets()
 			.forEach((target) -> this.healthByTarget.put(target.name(), new TargetHealth(target.born(), now)));
 		state.keyedServices().forEach((service) -> {
@@ -125,10 +124,10 @@
 
 	/**
 	 * Sets the services that are sharded by key.
-	 * @param services the names of the services
+	 * @param services how targets learn which keys they own, by the name of the service
 	 */
-	public void shardedServices(Set<String> services) {
-		this.shardedServices = Set.copyOf(services);
+	public void shardedServices(Map<String, GrantMode> services) {
+		this.shardedServices = Map.copyOf(services);
 	}
 
 	/**
@@ -156,6 +155,23 @@
 		return recordHeartbeat(heartbeat, known.get(), now);
 	}
 
+	/**
+	 * Returns the key ranges that the reply to a heartbeat grants to the target. To be
+	 * called when the reply is sent, since the grant begins with it.
+	 * @param heartbeat the heartbeat
+	 * @param now the monotonic time in nanoseconds
+	 * @return all ranges that the target is to hold, or empty if the reply grants and
+	 * renews nothing: the target isn't granted keys by heartbeat, or the heartbeat isn't
+	 * its latest one
+	 */
+	public Optional<LeaseRenewal> renewal(TargetHeartbeat heartbeat, long now) {
+		return this.state.target(heartbeat.target().owner())
+			.filter((target) -> this.shardedServices.get(target.service()) == GrantMode.HEARTBEAT)
+			.filter((target) -> !replacedTargets().contains(target.name()))
+			.filter((target) -> health(target).isLatest(heartbeat.sequence()))
+			.map((target) -> this.heartbeatDelivery.renewal(target, now));
+	}
+
 	/**
 	 * Returns the command that records the departure of a target.
 	 * @param name the target's name
@@ -221,7 +237,9 @@
 	}
 
 	private void quarantineFormerIncarnations(FleetTarget target, long now) {
+		// A reply to a heartbeat reaches only the incarnation that sent it.
 		this.leases.all()
+			.filter((lease) -> this.shardedServices.get(lease.service()) != GrantMode.HEARTBEAT)
 			.map((lease) -> lease.range().owner())
 			.filter((owner) -> owner.target().equals(target.name()) && owner.born() != target.born())
 			.distinct()
@@ -302,13 +320,13 @@
 	 */
 	public void tick(long now) {
 		forgetLostTargets(now);
-		this.remainingGrants = MAX_GRANTS_PER_TICK;
+		this.callDelivery.tickBegins();
 		this.leases.all().toList().forEach((lease) -> maintainLease(lease, now));
-		this.shardedServices.forEach((service) -> assignUnownedRanges(service, now));
+		this.shardedServices.keySet().forEach((service) -> assignUnownedRanges(service, now));
 		if (now - this.lastBalanceNanos >= BALANCE_INTERVAL_NANOS) {
 			this.lastBalanceNanos = now;
 			this.loadByService.values().forEach((load) -> load.decay(now));
-			this.shardedServices.forEach((service) -> {
+			this.shardedServices.keySet().forEach((service) -> {
 				balance(service, now);
 				mergeAdjacentRanges(service, now);
 			});
@@ -360,7 +378,7 @@
 	 * @return the ranges of each sharded service
 	 */
 	public Map<String, List<ViewRange>> viewKeys() {
-		return this.shardedServices.stream().collect(Collectors.toMap((service) -> service, this::viewRanges));
+		return this.shardedServices.keySet().stream().collect(Collectors.toMap((service) -> service, this::viewRanges));
 	}
 
 	private List<ViewRange> viewRanges(String service) {
@@ -388,6 +406,10 @@
 		if (wasCold != health.cold(now)) {
 			this.viewChanges++;
 		}
+		if (this.shardedServices.get(known.service()) == GrantMode.HEARTBEAT
+				&& this.heartbeatDelivery.reported(known, heartbeat.keys())) {
+			assignUnownedRanges(known.service(), now);
+		}
 		boolean startsDraining = known.stage() == Stage.SERVING && heartbeat.target().stage() == Stage.DRAINING;
 		return startsDraining ? Optional.of(new RecordTarget(known.with(Stage.DRAINING))) : Optional.empty();
 	}
@@ -443,36 +465,39 @@
 	}
 
 	private void maintainLease(RangeLease lease, long now) {
-		Optional<FleetTarget> owner = this.state.target(lease.range().owner());
-		if (owner.isEmpty()) {
-			return;
-		}
-		FleetTarget target = owner.get();
-		TargetHealth health = this.healthByTarget.get(target.name());
-		boolean reachable = !health.suspect(now) && !(target.stage() == Stage.LEFT && health.lost(now));
-		if (!reachable || lease.callInFlight()) {
-			return;
-		}
-		boolean granted = lease.phase() == Phase.HELD || lease.phase() == Phase.GRANT_PENDING;
-		if (granted && lease.lateGrantPossible(now)) {
-			proposeHigherFence(lease);
-		}
-		else if (granted && !mayKeepKeys(target) && !lease.confirmBeforeRelease()) {
-			release(lease, target, now);
-		}
-		else if (this.leases.releaseDue(lease, now)) {
-			release(lease, target, now);
-		}
-		else if (this.remainingGrants > 0 && this.leases.grantDue(lease, now)) {
-			this.remainingGrants--;
-			this.leases.grantSent(lease, now);
-			this.output.grant(lease, target, relayFor(health, now));
+		this.state.target(lease.range().owner())
+			.filter((target) -> !ownerChangePending(lease))
+			.ifPresent((target) -> delivery(lease.service()).maintain(lease, target, now));
+	}
+
+	private GrantDelivery delivery(String service) {
+		return (this.shardedServices.get(service) == GrantMode.HEARTBEAT) ? this.heartbeatDelivery : this.callDelivery;
+	}
+
+	// Returns whether a proposed command takes the range away from its owner. Once it is
+	// committed, the next owner may hold the range, so the lease must not be renewed.
+	boolean ownerChangePending(RangeLease lease) {
+		if (this.pendingCommands.isEmpty()) {
+			return false;
 		}
+		Owner owner = lease.range().owner();
+		boolean reassigned = this.pendingAssignments.get(lease.service()) instanceof AssignKeys assign && assign.moves()
+			.stream()
+			.anyMatch((move) -> !move.owner().equals(owner) && move.keys().overlaps(lease.range().keys()));
+		return reassigned || this.pendingCommands.contains(new ForgetTarget(owner));
+	}
+
+	void viewChanged() {
+		this.viewChanges++;
+	}
+
+	TargetHealth health(FleetTarget target) {
+		return this.healthByTarget.get(target.name());
 	}
 
 	// A target may apply an unanswered grant seconds later. Once it has seen a higher
 	// fence, it refuses the late grant.
-	private void proposeHigherFence(RangeLease lease) {
+	void proposeHigherFence(RangeLease lease) {
 		Move sameOwner = new Move(lease.range().keys(), lease.range().owner());
 		AssignKeys command = new AssignKeys(lease.service(), List.of(sameOwner));
 		if (this.pendingCommands.add(command)) {
@@ -482,16 +507,6 @@
 		}
 	}
 
-	private void release(RangeLease lease, FleetTarget target, long now) {
-		this.viewChanges++;
-		this.leases.releaseSent(lease, now);
-		this.output.release(lease, target, relayFor(this.healthByTarget.get(target.name()), now));
-	}
-
-	private Optional<String> relayFor(TargetHealth health, long now) {
-		return health.directlyReachable() ? Optional.empty() : health.relay(now);
-	}
-
 	private void assignUnownedRanges(String service, long now) {
 		List<RangeLease> free = this.leases.of(service)
 			.stream()
@@ -534,11 +549,9 @@
 	// Returns whether an unreleased lease is renewed although it may have expired,
 	// because its owner can be reached again.
 	private boolean willBeRenewed(RangeLease lease, long now) {
-		boolean renewable = lease.phase() == Phase.HELD || lease.phase() == Phase.GRANT_PENDING;
-		return renewable && this.state.target(lease.range().owner())
+		return lease.granted() && this.state.target(lease.range().owner())
 			.filter(this::mayKeepKeys)
-			.filter((target) -> !this.healthByTarget.get(target.name()).suspect(now)
-					&& !this.healthByTarget.get(target.name()).lost(now))
+			.filter((target) -> delivery(lease.service()).reachable(health(target), now) && !health(target).lost(now))
 			.isPresent();
 	}
 
@@ -548,11 +561,14 @@
 
 	private void balance(String service, long now) {
 		List<RangeLease> all = this.leases.of(service);
-		if (all.stream().filter((lease) -> !lease.serving()).count() >= MAX_UNSERVED_LEASES) {
+		if (all.stream()
+			.filter((lease) -> !lease.serving() || lease.releaseRequested())
+			.count() >= MAX_UNSERVED_LEASES) {
 			return;
 		}
 		List<OwnedRange> movable = all.stream()
-			.filter((lease) -> lease.serving() && !lease.callInFlight() && ownerReachable(lease, now))
+			.filter((lease) -> lease.serving() && !lease.releaseRequested() && !lease.callInFlight()
+					&& ownerReachable(lease, now))
 			.filter((lease) -> now - lease.assignedNanos() >= MIN_MOVE_INTERVAL_NANOS)
 			.filter((lease) -> lease.phase() == Phase.HELD && !lease.lateGrantPossible(now))
 			.map(RangeLease::range)
@@ -575,8 +591,8 @@
 		}
 		List<Move> merged = this.leases
 			.mergeable(service,
-					(lease) -> lease.phase() == Phase.HELD && lease.serving() && !lease.lateGrantPossible(now)
-							&& ownerReachable(lease, now))
+					(lease) -> lease.phase() == Phase.HELD && lease.serving() && !lease.releaseRequested()
+							&& !lease.lateGrantPossible(now) && ownerReachable(lease, now))
 			.stream()
 			.limit(MAX_MERGES_PER_COMMAND)
 			.map((range) -> new Move(range.keys(), range.owner()))
@@ -590,7 +606,7 @@
 
 	private boolean ownerReachable(RangeLease lease, long now) {
 		return this.state.target(lease.range().owner())
-			.filter((target) -> !this.healthByTarget.get(target.name()).suspect(now))
+			.filter((target) -> delivery(lease.service()).reachable(health(target), now))
 			.isPresent();
 	}
 
@@ -606,7 +622,7 @@
 		this.output.decision("move", "service", service, "keys", format(rangeMove.keys()), "target",
 				rangeMove.owner().target(), "receiver", rangeMove.receiver().target(), "slowness",
 				this.healthByTarget.get(rangeMove.owner().target()).slowness());
-		release(moved, owner.get(), now);
+		delivery(service).release(moved, owner.get(), now);
 	}
 
 	private List<Bin> bins(String service, long now, List<RangeLease> without) {
@@ -629,13 +645,14 @@
 			.map((lease) -> lease.range().keys());
 	}
 
-	private boolean mayKeepKeys(FleetTarget target) {
+	boolean mayKeepKeys(FleetTarget target) {
 		return target.stage() == Stage.SERVING && !this.state.domainsOut().contains(target.domain());
 	}
 
 	private boolean mayReceiveKeys(FleetTarget target, long now) {
 		TargetHealth health = this.healthByTarget.get(target.name());
-		return mayKeepKeys(target) && !health.cold(now) && !health.suspect(now) && !health.lost(now);
+		return mayKeepKeys(target) && !health.cold(now) && delivery(target.service()).reachable(health, now)
+				&& !health.lost(now);
 	}
 
 	private boolean usable(FleetTarget target) {
@@ -655,7 +672,7 @@
 		}
 	}
 
-	private static String format(KeyRange keys) {
+	static String format(KeyRange keys) {
 		return keys.first() + "-" + keys.last();
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -77,6 +77,15 @@
 		return true;
 	}
 
+	long lastHeartbeatNanos() {
+		return this.lastHeartbeatNanos;
+	}
+
+	// Returns whether no later heartbeat has been received than the one with this number.
+	boolean isLatest(long sequence) {
+		return sequence == this.lastSequence;
+	}
+
 	void extendColdPeriod(long nanos, long now) {
 		this.coldUntilNanos = Math.max(this.coldUntilNanos, now + nanos);
 	}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
@@ -22,7 +22,7 @@
 
 	private final Map<String, TreeMap<Integer, RangeLease>> byService = new HashMap<>();
 
-	private final Map<String, String> handovers = new HashMap<>();
+	private final Map<String, Handover> handovers = new HashMap<>();
 
 	private final List<Quarantine> quarantines = new ArrayList<>();
 
@@ -110,7 +110,8 @@
 			long end = (this.initialPhase == RangeLease.Phase.HELD) ? this.timing.endOf(now) : now;
 			RangeLease lease = new RangeLease(service, range.with(part), this.initialPhase,
 					now - this.timing.renewNanos(), end);
-			lease.handover(Optional.ofNullable(this.handovers.remove(handoverKey(service, part))));
+			Optional.ofNullable(this.handovers.remove(handoverKey(service, part)))
+				.ifPresent((handover) -> handover.passTo(lease));
 			leases.put(part.first(), lease);
 		}));
 	}
@@ -265,11 +266,70 @@
 		lease.callReturned();
 		if (answered) {
 			lease.phase(RangeLease.Phase.RELEASED);
-			handover
-				.ifPresent((token) -> this.handovers.put(handoverKey(lease.service(), lease.range().keys()), token));
+			this.handovers.put(handoverKey(lease.service(), lease.range().keys()),
+					new Handover(handover, lease.lastSentNanos()));
 		}
 	}
 
+	/**
+	 * Requests that the owner of a lease releases it in the reply to one of its next
+	 * heartbeats.
+	 * @param lease the lease
+	 */
+	public void requestRelease(RangeLease lease) {
+		lease.requestRelease();
+	}
+
+	/**
+	 * Records that a range is left out of the reply to a heartbeat, so that its owner
+	 * releases it.
+	 * @param lease the lease
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void releaseOffered(RangeLease lease, long now) {
+		lease.phase(RangeLease.Phase.RELEASING);
+		lease.releaseSent(now);
+	}
+
+	/**
+	 * Records that a range is granted or renewed in the reply to a heartbeat. The target
+	 * counts the duration from when it sent the heartbeat, so the lease ends no later
+	 * than if it were counted from now.
+	 * @param lease the lease
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void offered(RangeLease lease, long now) {
+		lease.offered(now, this.timing.endOf(now));
+	}
+
+	/**
+	 * Records what a heartbeat of the owner says about a lease. A released range counts
+	 * only while the lease is being released: the report may repeat an earlier release of
+	 * the same keys, and a lease that is granted again is no longer being released.
+	 * @param lease the lease
+	 * @param report the ranges that the owner reported
+	 * @return whether the owner has released the range
+	 */
+	public boolean reported(RangeLease lease, KeyReport report) {
+		if (report.holds(lease.range().keys(), lease.range().fence())) {
+			lease.reported();
+		}
+		boolean released = lease.phase() == RangeLease.Phase.RELEASING && report.releases(lease.range().keys());
+		if (released) {
+			releaseReturned(lease, true, handoverFrom(lease, report));
+		}
+		return released;
+	}
+
+	private static Optional<String> handoverFrom(RangeLease lease, KeyReport report) {
+		return report.released()
+			.stream()
+			.filter((released) -> released.keys().overlaps(lease.range().keys()))
+			.map(KeyReport.ReleasedRange::handover)
+			.filter((token) -> !token.isEmpty())
+			.findFirst();
+	}
+
 	/**
 	 * Returns whether a grant or renewal of a lease must be sent now.
 	 * @param lease the lease
@@ -349,6 +409,21 @@
 		return service + " " + keys.first() + " " + keys.last();
 	}
 
+	/**
+	 * What the next owner of a released range needs.
+	 *
+	 * @param token the handover token, if the previous owner issued one
+	 * @param ownerlessSinceNanos when the previous owner was told to stop serving
+	 */
+	private record Handover(Optional<String> token, long ownerlessSinceNanos) {
+
+		void passTo(RangeLease lease) {
+			lease.handover(this.token);
+			lease.ownerlessSince(this.ownerlessSinceNanos);
+		}
+
+	}
+
 	/**
 	 * A range that a previous owner may still hold and that must not be assigned to a
 	 * target until the given time.
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
@@ -34,6 +34,12 @@
 
 	private boolean grantConfirmed;
 
+	private boolean releaseRequested;
+
+	private long ownerlessSinceNanos;
+
+	private int unreportedOffers;
+
 	RangeLease(String service, OwnedRange range, Phase phase, long now, long endNanos) {
 		this.service = service;
 		this.range = range;
@@ -42,6 +48,7 @@
 		this.lastSentNanos = now;
 		this.endNanos = endNanos;
 		this.lateGrantPossibleUntilNanos = now;
+		this.ownerlessSinceNanos = now;
 		this.grantConfirmed = phase == Phase.HELD;
 	}
 
@@ -71,6 +78,8 @@
 		part.lateGrantPossibleUntilNanos = this.lateGrantPossibleUntilNanos;
 		part.confirmBeforeRelease = this.confirmBeforeRelease;
 		part.assignedNanos = this.assignedNanos;
+		part.releaseRequested = this.releaseRequested;
+		part.handover = this.handover;
 		return part;
 	}
 
@@ -130,7 +139,15 @@
 	 * @return whether requests may be sent to the owner
 	 */
 	public boolean serving() {
-		return (this.phase == Phase.HELD || this.phase == Phase.GRANT_PENDING) && this.grantConfirmed;
+		return granted() && this.grantConfirmed;
+	}
+
+	/**
+	 * Returns whether the range is granted to its owner and not being released.
+	 * @return whether the lease is to be renewed
+	 */
+	public boolean granted() {
+		return this.phase == Phase.HELD || this.phase == Phase.GRANT_PENDING;
 	}
 
 	/**
@@ -153,6 +170,33 @@
 		return this.confirmBeforeRelease && this.phase == Phase.GRANT_PENDING;
 	}
 
+	/**
+	 * Returns whether the owner is to release the range in the reply to one of its next
+	 * heartbeats. Until then it continues to serve the range.
+	 * @return whether a release was requested
+	 */
+	public boolean releaseRequested() {
+		return this.releaseRequested;
+	}
+
+	/**
+	 * Returns the time since which the keys have had no owner that serves them. Has a
+	 * meaning only until the first grant of this lease is confirmed.
+	 * @return the monotonic time in nanoseconds
+	 */
+	public long ownerlessSinceNanos() {
+		return this.ownerlessSinceNanos;
+	}
+
+	/**
+	 * Returns the number of consecutive heartbeats in which the owner didn't report the
+	 * range although it was granted before.
+	 * @return the number of heartbeats
+	 */
+	public int unreportedOffers() {
+		return this.unreportedOffers;
+	}
+
 	void lateGrantPossibleUntil(long until) {
 		this.lateGrantPossibleUntilNanos = until;
 	}
@@ -189,6 +233,34 @@
 		this.endNanos = this.previousEndNanos;
 	}
 
+	void releaseSent(long now) {
+		this.lastSentNanos = now;
+		this.releaseRequested = false;
+	}
+
+	void requestRelease() {
+		this.releaseRequested = true;
+	}
+
+	void ownerlessSince(long since) {
+		this.ownerlessSinceNanos = since;
+	}
+
+	// A grant in the reply to a heartbeat. If the reply is lost, the owner answers
+	// requests that it doesn't hold the keys, which is harmless, so the range counts as
+	// served at once.
+	void offered(long now, long end) {
+		this.lastSentNanos = now;
+		this.endNanos = Math.max(this.endNanos, end);
+		this.grantConfirmed = true;
+		this.unreportedOffers++;
+	}
+
+	void reported() {
+		this.unreportedOffers = 0;
+		grantConfirmed();
+	}
+
 	void callReturned() {
 		this.callInFlight = false;
 	}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/traffic/ServiceSpec.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/traffic/ServiceSpec.java
@@ -11,7 +11,9 @@
  * @param coldPerSecond the requests per second that a cold target can serve
  * @param warmupMillis the time for which keys assigned without a handover are served
  * slowly by their new owner
+ * @param grantMode how targets learn which keys they own; has no effect unless the
+ * service is sharded
  */
 public record ServiceSpec(String name, String healthPath, int maxConnections, boolean sharded, long coldMillis,
-		double coldPerSecond, long warmupMillis) {
+		double coldPerSecond, long warmupMillis, GrantMode grantMode) {
 }
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
@@ -12,8 +12,10 @@
 import org.redwingramp.core.fleet.FleetTarget.Stage;
 import org.redwingramp.core.ownership.GrantOutcome;
 import org.redwingramp.core.ownership.KeyRange;
+import org.redwingramp.core.ownership.KeyReport;
 import org.redwingramp.core.ownership.LeaseTiming;
 import org.redwingramp.core.ownership.RangeLease;
+import org.redwingramp.core.traffic.GrantMode;
 
 /**
  * Runs a {@link FleetController} against in-memory targets that hold the ranges they are
@@ -68,7 +70,7 @@
 	void startLeadership() {
 		this.replies.clear();
 		this.controller = new FleetController(this.state, this, LeaseTiming.DEFAULT, this.now);
-		this.controller.shardedServices(Set.of("s"));
+		this.controller.shardedServices(Map.of("s", GrantMode.CALL));
 	}
 
 	// The failure domain depends on the length of the name, so that a test can place a
@@ -87,7 +89,8 @@
 	void sendHeartbeat(FleetTarget target, long coldMillis) {
 		this.coldUntilNanos.put(target.name(), this.now + coldMillis * MS);
 		long sequence = this.sequences.merge(target.name() + target.born(), 1L, Long::sum);
-		this.controller.heartbeat(new TargetHeartbeat(target, coldMillis, sequence), this.now).ifPresent(this::commit);
+		this.controller.heartbeat(new TargetHeartbeat(target, coldMillis, sequence, KeyReport.EMPTY), this.now)
+			.ifPresent(this::commit);
 	}
 
 	void commit(FleetCommand command) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/traffic/TrafficTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/traffic/TrafficTests.java
@@ -14,8 +14,8 @@
 class TrafficTests {
 
 	private static final List<ServiceSpec> SERVICES = List.of(
-			new ServiceSpec("a", "/health", 10, true, 3000, 9.9, 2000),
-			new ServiceSpec("b", "/health", 10, false, 0, 0, 0));
+			new ServiceSpec("a", "/health", 10, true, 3000, 9.9, 2000, GrantMode.CALL),
+			new ServiceSpec("b", "/health", 10, false, 0, 0, 0, GrantMode.CALL));
 
 	@Test
 	void shouldFindTheRouteWithTheLongestPrefixOfTheHost() {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/api/ControlAnswer.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/api/ControlAnswer.java
@@ -1,5 +1,9 @@
 package org.redwingramp.node.api;
 
+import java.util.Optional;
+
+import org.redwingramp.core.ownership.LeaseRenewal;
+
 /**
  * The reply of a control replica to a {@link ControlRequest}. Thread safe, as long as the
  * document array isn't modified.
@@ -7,8 +11,10 @@
  * @param kind the kind of reply
  * @param text the address of the leader or the reason, empty for other kinds
  * @param document the requested configuration, empty for other kinds
+ * @param renewal the key ranges that the reply to a heartbeat grants; empty if the reply
+ * renews nothing
  */
-public record ControlAnswer(Kind kind, String text, byte[] document) {
+public record ControlAnswer(Kind kind, String text, byte[] document, Optional<LeaseRenewal> renewal) {
 
 	/** The kinds of reply. */
 	public enum Kind {
@@ -37,13 +43,31 @@
 	}
 
 	/**
-	 * Creates a reply without a document.
+	 * Creates a reply without a document or a renewal.
 	 * @param kind the kind of reply
 	 * @param text the address of the leader or the reason
 	 * @return the reply
 	 */
 	public static ControlAnswer of(Kind kind, String text) {
-		return new ControlAnswer(kind, text, new byte[0]);
+		return new ControlAnswer(kind, text, new byte[0], Optional.empty());
+	}
+
+	/**
+	 * Creates a reply with a configuration.
+	 * @param document the configuration
+	 * @return the reply
+	 */
+	public static ControlAnswer ofDocument(byte[] document) {
+		return new ControlAnswer(Kind.DOCUMENT, "", document, Optional.empty());
+	}
+
+	/**
+	 * Returns a copy of this reply that grants key ranges.
+	 * @param next the key ranges
+	 * @return the copy
+	 */
+	public ControlAnswer with(Optional<LeaseRenewal> next) {
+		return new ControlAnswer(this.kind, this.text, this.document, next);
 	}
 
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -4,8 +4,8 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
@@ -15,10 +15,12 @@
 import org.redwingramp.core.fleet.FleetResult;
 import org.redwingramp.core.fleet.FleetState;
 import org.redwingramp.core.fleet.FleetTarget;
+import org.redwingramp.core.fleet.TargetHeartbeat;
 import org.redwingramp.core.fleet.ViewState;
 import org.redwingramp.core.ownership.LeaseTiming;
 import org.redwingramp.core.ownership.RangeLease;
 import org.redwingramp.core.traffic.ConfigValidator;
+import org.redwingramp.core.traffic.GrantMode;
 import org.redwingramp.core.traffic.ServiceSpec;
 import org.redwingramp.core.traffic.TrafficConfig;
 import org.redwingramp.node.api.ControlAnswer;
@@ -266,12 +268,11 @@
 		}
 		try {
 			this.config = Optional.of(this.dialect.config(state.document()));
-			Set<String> sharded = this.config.get()
+			Map<String, GrantMode> sharded = this.config.get()
 				.services()
 				.stream()
 				.filter(ServiceSpec::sharded)
-				.map(ServiceSpec::name)
-				.collect(Collectors.toSet());
+				.collect(Collectors.toMap(ServiceSpec::name, ServiceSpec::grantMode));
 			this.controller.ifPresent((activeController) -> activeController.shardedServices(sharded));
 		}
 		catch (InvalidDocumentException ex) {
@@ -418,7 +419,8 @@
 	private void execute(ControlRequest call, Consumer<ControlAnswer> reply) {
 		FleetController activeController = this.controller.orElseThrow();
 		if (call instanceof ControlRequest.Heartbeat heartbeat) {
-			commit(activeController.heartbeat(heartbeat.heartbeat(), System.nanoTime()), reply);
+			commit(activeController.heartbeat(heartbeat.heartbeat(), System.nanoTime()),
+					(answer) -> reply.accept(withRenewal(answer, heartbeat.heartbeat(), activeController)));
 		}
 		else if (call instanceof ControlRequest.Leave leave) {
 			commit(activeController.leave(leave.target(), leave.born()), reply);
@@ -433,9 +435,9 @@
 		}
 		else {
 			FleetState state = this.replica.state();
-			reply.accept((state.configVersion() > 0 && this.replica.upToDate())
-					? new ControlAnswer(Kind.DOCUMENT, "", state.document())
-					: ControlAnswer.of(Kind.UNAVAILABLE, "no configuration is available yet"));
+			reply.accept(
+					(state.configVersion() > 0 && this.replica.upToDate()) ? ControlAnswer.ofDocument(state.document())
+							: ControlAnswer.of(Kind.UNAVAILABLE, "no configuration is available yet"));
 		}
 	}
 
@@ -447,6 +449,15 @@
 		this.replica.propose(command.get(), (result) -> reply.accept(result.isPresent() ? accepted() : undecided()));
 	}
 
+	// Grants keys in the reply to a heartbeat, unless this replica has lost the
+	// leadership
+	// in which it received the heartbeat.
+	private ControlAnswer withRenewal(ControlAnswer answer, TargetHeartbeat heartbeat, FleetController receiver) {
+		boolean mayGrant = answer.kind() == Kind.ACCEPTED && mayAct()
+				&& this.controller.filter((current) -> current == receiver).isPresent();
+		return mayGrant ? answer.with(receiver.renewal(heartbeat, System.nanoTime())) : answer;
+	}
+
 	// The response contains the leader's address, so that later calls of a target need no
 	// redirect.
 	private ControlAnswer accepted() {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlWarmup.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlWarmup.java
@@ -1,8 +1,8 @@
 package org.redwingramp.node.control;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 import org.redwingramp.core.fleet.EntryReport;
 import org.redwingramp.core.fleet.FleetCommand;
@@ -13,8 +13,10 @@
 import org.redwingramp.core.fleet.FleetTarget;
 import org.redwingramp.core.fleet.TargetHeartbeat;
 import org.redwingramp.core.ownership.KeyRange;
+import org.redwingramp.core.ownership.KeyReport;
 import org.redwingramp.core.ownership.LeaseTiming;
 import org.redwingramp.core.ownership.RangeLease;
+import org.redwingramp.core.traffic.GrantMode;
 import org.redwingramp.node.api.PlatformDialect;
 import org.redwingramp.node.events.EventWriter;
 import org.redwingramp.node.events.NodeEvent;
@@ -64,11 +66,11 @@
 	private static void exerciseController() {
 		FleetState state = new FleetState(FleetSnapshot.EMPTY);
 		FleetController controller = new FleetController(state, new ImmediateOutput(state), LeaseTiming.DEFAULT, 0);
-		controller.shardedServices(Set.of(SERVICE));
+		controller.shardedServices(Map.of(SERVICE, GrantMode.CALL));
 		for (int i = 0; i < TARGETS; i++) {
 			FleetTarget target = new FleetTarget("t-" + i, 1, SERVICE, "127.0.0.1:" + (i + 1), "d", 1,
 					FleetTarget.Stage.SERVING);
-			controller.heartbeat(new TargetHeartbeat(target, 0, 1), 0).ifPresent((command) -> {
+			controller.heartbeat(new TargetHeartbeat(target, 0, 1, KeyReport.EMPTY), 0).ifPresent((command) -> {
 				state.apply(command);
 				controller.commandApplied(command, 0);
 			});
@@ -79,7 +81,7 @@
 		controller.report("e", new EntryReport(List.of(new EntryReport.TargetUse("t-0", 1, 1, 1)),
 				List.of(new EntryReport.KeyUse(SERVICE, 1, 1))), 0);
 		FleetController restarted = new FleetController(state, new ImmediateOutput(state), LeaseTiming.DEFAULT, 0);
-		restarted.shardedServices(Set.of(SERVICE));
+		restarted.shardedServices(Map.of(SERVICE, GrantMode.CALL));
 		restarted.tick(LeaseTiming.DEFAULT.renewNanos());
 		restarted.viewTargets(0);
 		restarted.viewKeys();
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
@@ -8,6 +8,7 @@
 
 import org.redwingramp.core.fleet.FleetTarget;
 import org.redwingramp.core.fleet.TargetHeartbeat;
+import org.redwingramp.core.ownership.KeyReport;
 import org.redwingramp.core.traffic.CallerLimits;
 import org.redwingramp.core.traffic.TrafficConfig;
 import org.redwingramp.node.api.ControlAnswer;
@@ -79,7 +80,7 @@
 			case "out" -> new ControlRequest.SetDomainOut(words[1], true);
 			case "heartbeat" -> new ControlRequest.Heartbeat(new TargetHeartbeat(new FleetTarget(words[1], 1, "s",
 					"127.0.0.1:" + ((words.length > 2) ? words[2] : "1"), "d", 1, FleetTarget.Stage.SERVING), 0,
-					System.nanoTime()));
+					System.nanoTime(), KeyReport.EMPTY));
 			default -> new ControlRequest.Unknown();
 		};
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 
 import org.redwingramp.core.traffic.CallerLimits;
+import org.redwingramp.core.traffic.GrantMode;
 import org.redwingramp.core.traffic.RequestKind;
 import org.redwingramp.core.traffic.Route;
 import org.redwingramp.core.traffic.ServiceSpec;
@@ -93,7 +94,7 @@
 	public TrafficConfig config(byte[] document) {
 		return new TrafficConfig(1,
 				List.of(route("lookup", RequestKind.IDEMPOTENT), route("book", RequestKind.NON_IDEMPOTENT)),
-				List.of(new ServiceSpec("s", "/health", 10, true, 0, 0, 0)), CallerLimits.DEFAULT);
+				List.of(new ServiceSpec("s", "/health", 10, true, 0, 0, 0, GrantMode.CALL)), CallerLimits.DEFAULT);
 	}
 
 	@Override
