Bound the time for the head of a request

Cause: the header timeout of ServerConnection restarted with each byte, so a caller that sends its head byte by byte kept the connection open forever. Header.lists searched tokens as substrings: close-notify counted as close.

Change: the time counts from the first byte of the head; when it is over, the request is rejected with 408 and the connection closed. Tokens of a list are compared whole.

Result: SlowRequestHeadTests, real sockets; the first test failed before (no response within 5 s, the connection stayed open) and passes now.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/Header.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/Header.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * An HTTP header field. Immutable and thread safe.
@@ -27,17 +28,18 @@
 	}
 
 	/**
-	 * Returns whether the value of a field contains a token, in any case. The token is
-	 * searched as a substring.
+	 * Returns whether a field with a comma-separated list of tokens contains a token, in
+	 * any case.
 	 * @param headers the fields
 	 * @param name the name of the field, in any case
-	 * @param token the token, in lower case
+	 * @param token the token, in any case
 	 * @return whether a field of that name contains the token
 	 */
 	public static boolean lists(List<Header> headers, String name, String token) {
 		return headers.stream()
 			.filter((header) -> header.name().equalsIgnoreCase(name))
-			.anyMatch((header) -> header.value().toLowerCase(java.util.Locale.ROOT).contains(token));
+			.flatMap((header) -> Stream.of(header.value().split(",")))
+			.anyMatch((element) -> element.trim().equalsIgnoreCase(token));
 	}
 
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
@@ -28,6 +28,8 @@
 
 	private static final int BAD_REQUEST = 400;
 
+	private static final int REQUEST_TIMEOUT = 408;
+
 	private static final int CONTENT_TOO_LARGE = 413;
 
 	private final HttpServer server;
@@ -58,6 +60,10 @@
 
 	private Exchange current;
 
+	private boolean headComplete;
+
+	private long requestStartNanos;
+
 	private long lastActivityNanos = System.nanoTime();
 
 	ServerConnection(HttpServer server, TcpConnection tcp, HttpLimits limits) {
@@ -101,7 +107,13 @@
 
 	void closeIfTimedOut(long now, HttpLimits currentLimits) {
 		long idle = now - this.lastActivityNanos;
-		boolean stalled = this.requestStarted && idle > this.limits.headerTimeoutNanos() * 2;
+		long requestTimeout = this.limits.headerTimeoutNanos() * 2;
+		// Bytes that arrive slowly one by one must not keep the connection open.
+		if (this.requestStarted && !this.headComplete && now - this.requestStartNanos > requestTimeout) {
+			reject(REQUEST_TIMEOUT);
+			return;
+		}
+		boolean stalled = this.requestStarted && idle > requestTimeout;
 		if (this.current == null && (stalled || (!this.requestStarted && idle > currentLimits.idleTimeoutNanos()))) {
 			this.tcp.closeAfterWrite();
 			this.server.connectionClosed(this);
@@ -194,6 +206,8 @@
 	@Override
 	public void messageBegin() {
 		this.requestStarted = true;
+		this.headComplete = false;
+		this.requestStartNanos = System.nanoTime();
 	}
 
 	@Override
@@ -203,6 +217,7 @@
 
 	@Override
 	public boolean headerComplete() {
+		this.headComplete = true;
 		if (Header.lists(this.headers, "Expect", "100-continue")) {
 			this.tcp.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
 		}
