Delay replies to heartbeats until keys are released for the target

Cause: a range moves with two heartbeats: its owner learns of the release in one reply, the receiver of its keys in another.

Change: the reply to a receiver's heartbeat waits for at most 650 ms while a release for it is near, and an owner is told to release when its receiver waits or sends its next heartbeat soon, at the latest after 2 s.

New test: hot keys move in less than half a heartbeat interval in the median.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -155,6 +155,20 @@
 		return recordHeartbeat(heartbeat, known.get(), now);
 	}
 
+	/**
+	 * Returns whether the reply to a heartbeat should be delayed, because keys are about
+	 * to be released for the target.
+	 * @param heartbeat the heartbeat
+	 * @param receivedNanos when it was received, as monotonic time in nanoseconds
+	 * @param now the monotonic time in nanoseconds
+	 * @return whether the target is about to receive keys
+	 */
+	public boolean awaitsKeys(TargetHeartbeat heartbeat, long receivedNanos, long now) {
+		return grantedByHeartbeat(heartbeat)
+			.filter((target) -> this.heartbeatDelivery.awaitsKeys(target, receivedNanos, now))
+			.isPresent();
+	}
+
 	/**
 	 * Returns the key ranges that the reply to a heartbeat grants to the target. To be
 	 * called when the reply is sent, since the grant begins with it.
@@ -165,11 +179,15 @@
 	 * its latest one
 	 */
 	public Optional<LeaseRenewal> renewal(TargetHeartbeat heartbeat, long now) {
+		return grantedByHeartbeat(heartbeat).map((target) -> this.heartbeatDelivery.renewal(target, now));
+	}
+
+	// Returns the sender of a heartbeat if the reply may grant it keys.
+	private Optional<FleetTarget> grantedByHeartbeat(TargetHeartbeat heartbeat) {
 		return this.state.target(heartbeat.target().owner())
 			.filter((target) -> this.shardedServices.get(target.service()) == GrantMode.HEARTBEAT)
-			.filter((target) -> !replacedTargets().contains(target.name()))
 			.filter((target) -> health(target).isLatest(heartbeat.sequence()))
-			.map((target) -> this.heartbeatDelivery.renewal(target, now));
+			.filter((target) -> !addressTaken(target));
 	}
 
 	/**
@@ -487,6 +505,21 @@
 		return reassigned || this.pendingCommands.contains(new ForgetTarget(owner));
 	}
 
+	Stream<RangeLease> leasesPlannedFor(Owner receiver) {
+		return this.plannedReceivers.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().equals(receiver))
+			.map(Map.Entry::getKey);
+	}
+
+	Optional<Owner> plannedReceiver(RangeLease lease) {
+		return Optional.ofNullable(this.plannedReceivers.get(lease));
+	}
+
+	Optional<TargetHealth> health(Owner owner) {
+		return this.state.target(owner).map(this::health);
+	}
+
 	void viewChanged() {
 		this.viewChanges++;
 	}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/HeartbeatDelivery.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/HeartbeatDelivery.java
@@ -1,13 +1,17 @@
 package org.redwingramp.core.fleet;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
 import org.redwingramp.core.ownership.KeyReport;
 import org.redwingramp.core.ownership.LeaseRenewal;
 import org.redwingramp.core.ownership.LeaseRenewal.GrantedRange;
 import org.redwingramp.core.ownership.LeaseTable;
 import org.redwingramp.core.ownership.LeaseTiming;
+import org.redwingramp.core.ownership.Owner;
 import org.redwingramp.core.ownership.RangeLease;
 
 /**
@@ -37,6 +41,21 @@
 	 */
 	private static final int MAX_RANGES = 80;
 
+	/**
+	 * Maximum delay of the reply to a heartbeat. Targets discard replies after one
+	 * second.
+	 */
+	private static final long MAX_REPLY_DELAY_NANOS = 650_000_000L;
+
+	/** Time from the reply that releases a range until its release is reported. */
+	private static final long RELEASE_DURATION_NANOS = 150_000_000L;
+
+	/** A release that is expected within this time is worth waiting for. */
+	private static final long RELEASE_NEAR_NANOS = 450_000_000L;
+
+	/** Maximum time for which a release waits until its receiver is ready. */
+	private static final long MAX_RELEASE_DELAY_NANOS = 2_000_000_000L;
+
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final FleetController controller;
@@ -47,6 +66,9 @@
 
 	private final long holdMillis;
 
+	// Targets whose heartbeat waits for its reply, with the end of the wait.
+	private final Map<Owner, Long> waitingTargets = new HashMap<>();
+
 	HeartbeatDelivery(FleetController controller, LeaseTable leases, FleetOutput output, LeaseTiming timing) {
 		this.controller = controller;
 		this.leases = leases;
@@ -74,7 +96,7 @@
 
 	@Override
 	public void release(RangeLease lease, FleetTarget target, long now) {
-		this.leases.requestRelease(lease);
+		this.leases.requestRelease(lease, now);
 	}
 
 	/**
@@ -106,7 +128,7 @@
 			if (!lease.granted() || this.controller.ownerChangePending(lease)) {
 				continue;
 			}
-			if (lease.releaseRequested() || !this.controller.mayKeepKeys(target)) {
+			if (!this.controller.mayKeepKeys(target) || (lease.releaseRequested() && isReceiverReady(lease, now))) {
 				this.leases.releaseOffered(lease, now);
 				this.controller.viewChanged();
 			}
@@ -118,6 +140,53 @@
 		return new LeaseRenewal(ranges, this.holdMillis);
 	}
 
+	/**
+	 * Returns whether the reply to a heartbeat should wait, because keys are about to be
+	 * released for the target. Without that it would learn of them only at its next
+	 * heartbeat.
+	 * @param target the target
+	 * @param receivedNanos when the heartbeat was received
+	 * @param now the monotonic time in nanoseconds
+	 * @return whether to wait
+	 */
+	boolean awaitsKeys(FleetTarget target, long receivedNanos, long now) {
+		boolean waits = now - receivedNanos < MAX_REPLY_DELAY_NANOS
+				&& this.controller.leasesPlannedFor(target.owner()).anyMatch((lease) -> isReleaseNear(lease, now));
+		if (waits) {
+			this.waitingTargets.put(target.owner(), receivedNanos + MAX_REPLY_DELAY_NANOS);
+		}
+		else {
+			this.waitingTargets.remove(target.owner());
+		}
+		return waits;
+	}
+
+	private boolean isReleaseNear(RangeLease lease, long now) {
+		if (lease.releaseRequested()) {
+			return this.controller.health(lease.range().owner())
+				.map((health) -> health.nextHeartbeatInNanos(now))
+				.filter((nanos) -> Math.abs(nanos) < RELEASE_NEAR_NANOS)
+				.isPresent();
+		}
+		return lease.phase() == RangeLease.Phase.RELEASED || (lease.phase() == RangeLease.Phase.RELEASING
+				&& now - lease.ownerlessSinceNanos() < RELEASE_NEAR_NANOS);
+	}
+
+	// Returns whether the receiver of the range will soon learn of it if it is released
+	// now. Its heartbeats may never come at a suitable time, so the wait is limited.
+	private boolean isReceiverReady(RangeLease lease, long now) {
+		Optional<Owner> receiver = this.controller.plannedReceiver(lease);
+		if (receiver.isEmpty() || now - lease.releaseRequestedNanos() > MAX_RELEASE_DELAY_NANOS) {
+			return true;
+		}
+		long waitsUntil = this.waitingTargets.getOrDefault(receiver.get(), now);
+		boolean waiting = waitsUntil - now > RELEASE_DURATION_NANOS;
+		return waiting || this.controller.health(receiver.get())
+			.map((health) -> health.nextHeartbeatInNanos(now))
+			.filter((nanos) -> nanos > RELEASE_DURATION_NANOS && nanos < RELEASE_NEAR_NANOS)
+			.isPresent();
+	}
+
 	private void offer(RangeLease lease, long now) {
 		boolean serving = lease.serving();
 		this.leases.offered(lease, now);
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -30,6 +30,17 @@
 	 */
 	private static final double SLOWNESS_WEIGHT = 0.03;
 
+	/** Initial estimate of the interval between heartbeats. */
+	private static final long INITIAL_INTERVAL_NANOS = 900_000_000L;
+
+	/**
+	 * Shorter intervals don't count for the estimate: a target that releases keys sends
+	 * its next heartbeat early.
+	 */
+	private static final long MIN_INTERVAL_NANOS = 300_000_000L;
+
+	private static final double INTERVAL_WEIGHT = 0.3;
+
 	private static final double MIN_SLOWNESS = 0.4;
 
 	private static final double MAX_SLOWNESS = 6;
@@ -42,6 +53,8 @@
 
 	private long lastHeartbeatNanos;
 
+	private double intervalNanos = INITIAL_INTERVAL_NANOS;
+
 	private long lastResponseNanos;
 
 	private long lastReplyNanos;
@@ -71,6 +84,11 @@
 		if (sequence <= this.lastSequence) {
 			return false;
 		}
+		long interval = now - this.lastHeartbeatNanos;
+		if (this.lastSequence != Long.MIN_VALUE && interval >= MIN_INTERVAL_NANOS) {
+			double bounded = Math.min(interval, 2 * this.intervalNanos);
+			this.intervalNanos += (bounded - this.intervalNanos) * INTERVAL_WEIGHT;
+		}
 		this.lastSequence = sequence;
 		this.lastHeartbeatNanos = now;
 		this.coldUntilNanos = now + coldLeftNanos;
@@ -81,6 +99,11 @@
 		return this.lastHeartbeatNanos;
 	}
 
+	// Returns the expected time until the next heartbeat, negative if it is overdue.
+	long nextHeartbeatInNanos(long now) {
+		return this.lastHeartbeatNanos + (long) this.intervalNanos - now;
+	}
+
 	// Returns whether no later heartbeat has been received than the one with this number.
 	boolean isLatest(long sequence) {
 		return sequence == this.lastSequence;
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
@@ -275,9 +275,10 @@
 	 * Requests that the owner of a lease releases it in the reply to one of its next
 	 * heartbeats.
 	 * @param lease the lease
+	 * @param now the monotonic time in nanoseconds
 	 */
-	public void requestRelease(RangeLease lease) {
-		lease.requestRelease();
+	public void requestRelease(RangeLease lease, long now) {
+		lease.requestRelease(now);
 	}
 
 	/**
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
@@ -36,6 +36,8 @@
 
 	private boolean releaseRequested;
 
+	private long releaseRequestedNanos;
+
 	private long ownerlessSinceNanos;
 
 	private int unreportedOffers;
@@ -79,6 +81,7 @@
 		part.confirmBeforeRelease = this.confirmBeforeRelease;
 		part.assignedNanos = this.assignedNanos;
 		part.releaseRequested = this.releaseRequested;
+		part.releaseRequestedNanos = this.releaseRequestedNanos;
 		part.handover = this.handover;
 		return part;
 	}
@@ -179,9 +182,18 @@
 		return this.releaseRequested;
 	}
 
+	/**
+	 * Returns the time at which the release was requested. Has a meaning only while a
+	 * release is requested.
+	 * @return the monotonic time in nanoseconds
+	 */
+	public long releaseRequestedNanos() {
+		return this.releaseRequestedNanos;
+	}
+
 	/**
 	 * Returns the time since which the keys have had no owner that serves them. Has a
-	 * meaning only until the first grant of this lease is confirmed.
+	 * meaning only while the lease isn't serving.
 	 * @return the monotonic time in nanoseconds
 	 */
 	public long ownerlessSinceNanos() {
@@ -235,11 +247,13 @@
 
 	void releaseSent(long now) {
 		this.lastSentNanos = now;
+		this.ownerlessSinceNanos = now;
 		this.releaseRequested = false;
 	}
 
-	void requestRelease() {
+	void requestRelease(long now) {
 		this.releaseRequested = true;
+		this.releaseRequestedNanos = now;
 	}
 
 	void ownerlessSince(long since) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatFleet.java
@@ -114,11 +114,8 @@
 	private void receive(HeartbeatTarget target, TargetHeartbeat heartbeat) {
 		FleetController receiver = this.controller;
 		Optional<FleetCommand> command = receiver.heartbeat(heartbeat, this.now);
-		Runnable reply = () -> {
-			if (this.controller == receiver) {
-				reply(target, heartbeat, receiver.renewal(heartbeat, this.now));
-			}
-		};
+		long received = this.now;
+		Runnable reply = () -> replyWhenReady(target, heartbeat, receiver, received);
 		if (command.isPresent()) {
 			commitLater(command.get(), reply);
 		}
@@ -127,6 +124,19 @@
 		}
 	}
 
+	private void replyWhenReady(HeartbeatTarget target, TargetHeartbeat heartbeat, FleetController receiver,
+			long received) {
+		if (this.controller != receiver) {
+			return;
+		}
+		if (receiver.awaitsKeys(heartbeat, received, this.now)) {
+			schedule(20, () -> replyWhenReady(target, heartbeat, receiver, received));
+		}
+		else {
+			reply(target, heartbeat, receiver.renewal(heartbeat, this.now));
+		}
+	}
+
 	private void reply(HeartbeatTarget target, TargetHeartbeat heartbeat, Optional<LeaseRenewal> renewal) {
 		if (this.random.nextDouble() >= this.loss) {
 			long delay = (this.random.nextDouble() < this.loss) ? this.random.nextInt(2000) : 1;
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatOwnershipTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatOwnershipTests.java
@@ -65,6 +65,27 @@
 		assertThat(fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	// Hot keys: without coordinated heartbeats, a move leaves its keys without an owner
+	// for
+	// about one heartbeat interval.
+	@Test
+	void shouldMoveHotKeysInLessThanHalfAHeartbeatInterval() {
+		HeartbeatFleet fleet = servingFleet(6);
+		fleet.decisions.clear();
+		IntStream.range(0, 40).forEach((round) -> {
+			reportHotKey(fleet, round * 1500);
+			fleet.advance(700);
+		});
+		List<Long> ownerlessMillis = fleet.decisions.stream()
+			.filter((decision) -> decision.startsWith("grant"))
+			.map((decision) -> Long.valueOf(decision.replaceAll(".*ownerless-millis, (\\d+).*", "$1")))
+			.sorted()
+			.toList();
+		assertThat(ownerlessMillis).hasSizeGreaterThan(20);
+		assertThat(ownerlessMillis.get(ownerlessMillis.size() / 2))
+			.isLessThan(HeartbeatTarget.INTERVAL_NANOS / 2 / 1_000_000);
+	}
+
 	@Test
 	void shouldGiveKeysOnlyOneOwnerOverAnUnreliableNetwork() {
 		LongStream.range(0, Long.getLong("ownership.seeds", 150))
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -76,6 +76,9 @@
 	/** Interval between two checks for a leader while calls wait for it. */
 	private static final long LEADER_POLL_INTERVAL_NANOS = 50 * MILLISECOND;
 
+	/** Interval between two checks for keys while the reply to a heartbeat waits. */
+	private static final long KEYS_POLL_INTERVAL_NANOS = 20 * MILLISECOND;
+
 	/**
 	 * Delay from the end of the wait for a leader until calls are accepted. In this time
 	 * a new leader sends the entry instances their first view, before it executes calls.
@@ -419,8 +422,9 @@
 	private void execute(ControlRequest call, Consumer<ControlAnswer> reply) {
 		FleetController activeController = this.controller.orElseThrow();
 		if (call instanceof ControlRequest.Heartbeat heartbeat) {
-			commit(activeController.heartbeat(heartbeat.heartbeat(), System.nanoTime()),
-					(answer) -> reply.accept(withRenewal(answer, heartbeat.heartbeat(), activeController)));
+			long now = System.nanoTime();
+			commit(activeController.heartbeat(heartbeat.heartbeat(), now),
+					(answer) -> grantKeys(answer, heartbeat.heartbeat(), activeController, now, reply));
 		}
 		else if (call instanceof ControlRequest.Leave leave) {
 			commit(activeController.leave(leave.target(), leave.born()), reply);
@@ -451,11 +455,23 @@
 
 	// Grants keys in the reply to a heartbeat, unless this replica has lost the
 	// leadership
-	// in which it received the heartbeat.
-	private ControlAnswer withRenewal(ControlAnswer answer, TargetHeartbeat heartbeat, FleetController receiver) {
+	// in which it received the heartbeat. Delays the reply while the target is about to
+	// receive keys.
+	private void grantKeys(ControlAnswer answer, TargetHeartbeat heartbeat, FleetController receiver,
+			long receivedNanos, Consumer<ControlAnswer> reply) {
 		boolean mayGrant = answer.kind() == Kind.ACCEPTED && mayAct()
 				&& this.controller.filter((current) -> current == receiver).isPresent();
-		return mayGrant ? answer.with(receiver.renewal(heartbeat, System.nanoTime())) : answer;
+		long now = System.nanoTime();
+		if (!mayGrant) {
+			reply.accept(answer);
+		}
+		else if (receiver.awaitsKeys(heartbeat, receivedNanos, now)) {
+			this.loop.schedule(KEYS_POLL_INTERVAL_NANOS,
+					() -> grantKeys(answer, heartbeat, receiver, receivedNanos, reply));
+		}
+		else {
+			reply.accept(answer.with(receiver.renewal(heartbeat, now)));
+		}
 	}
 
 	// The response contains the leader's address, so that later calls of a target need no
