--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatOwnershipTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatOwnershipTests.java
@@ -65,6 +65,18 @@
 		assertThat(fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	@Test
+	void shouldRenewNothingInTheReplyToAHeartbeatThatIsNotTheLatest() {
+		HeartbeatFleet fleet = servingFleet(7);
+		HeartbeatTarget target = fleet.targets.get(0);
+		TargetHeartbeat older = target.heartbeat(fleet.now);
+		TargetHeartbeat latest = target.heartbeat(fleet.now);
+		fleet.controller.heartbeat(latest, fleet.now);
+		fleet.controller.heartbeat(older, fleet.now);
+		assertThat(fleet.controller.renewal(older, fleet.now)).isEmpty();
+		assertThat(fleet.controller.renewal(latest, fleet.now)).isPresent();
+	}
+
 	// Hot keys: without coordinated heartbeats, a move leaves its keys without an owner
 	// for
 	// about one heartbeat interval.
--- a/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
@@ -5,6 +5,9 @@
 
 import org.junit.jupiter.api.Test;
 
+import org.redwingramp.core.ownership.KeyReport.HeldRange;
+import org.redwingramp.core.ownership.KeyReport.ReleasedRange;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -31,6 +34,37 @@
 		assertThat(this.table.assignable(lease, LeaseTiming.DEFAULT.endOf(START) + 1)).isTrue();
 	}
 
+	// A target repeats the report of a release until a heartbeat is acknowledged.
+	@Test
+	void shouldNotFreeARangeByARepeatedReportOfAnEarlierRelease() {
+		RangeLease lease = newLease();
+		this.table.offered(lease, START);
+		KeyReport repeated = new KeyReport(List.of(), List.of(new ReleasedRange(KeyRange.ALL, "token")));
+		assertThat(this.table.reported(lease, repeated)).isFalse();
+		assertThat(this.table.assignable(lease, START + 1)).isFalse();
+		this.table.requestRelease(lease, START);
+		this.table.releaseOffered(lease, START);
+		assertThat(this.table.reported(lease, repeated)).isTrue();
+		assertThat(this.table.assignable(lease, START + 1)).isTrue();
+	}
+
+	@Test
+	void shouldNotFreeARangeWhileAPartOfItIsHeldOrNotReported() {
+		RangeLease lease = newLease();
+		this.table.offered(lease, START);
+		this.table.requestRelease(lease, START);
+		this.table.releaseOffered(lease, START);
+		ReleasedRange all = new ReleasedRange(KeyRange.ALL, "token");
+		ReleasedRange most = new ReleasedRange(new KeyRange(1, KeyRange.KEYS - 1), "token");
+		assertThat(
+				this.table.reported(lease, new KeyReport(List.of(new HeldRange(new KeyRange(5, 5), 1)), List.of(all))))
+			.isFalse();
+		assertThat(this.table.reported(lease, new KeyReport(List.of(), List.of(most)))).isFalse();
+		assertThat(this.table.reported(lease, KeyReport.EMPTY)).isFalse();
+		assertThat(this.table.assignable(lease, LeaseTiming.DEFAULT.endOf(START))).isFalse();
+		assertThat(this.table.assignable(lease, LeaseTiming.DEFAULT.endOf(START) + 1)).isTrue();
+	}
+
 	@Test
 	void shouldNotExtendALeaseByAGrantThatWasNotSent() {
 		RangeLease lease = newLease();
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
@@ -106,6 +106,38 @@
 		}
 	}
 
+	// The late copy arrives where the response to the next request is expected.
+	@Test
+	void shouldNotReturnALateSecondCopyOfAResponseToTheNextCaller() throws Exception {
+		String copy = ScriptedTarget.response("1", "first");
+		try (ScriptedTarget target = new ScriptedTarget(copy, copy + ScriptedTarget.response("2", "second"),
+				ScriptedTarget.response("2", "second"))) {
+			this.entry.sendView("t-0", target);
+			assertThat(this.entry.call("/lookup/a", "1")).endsWith("first");
+			assertThat(this.entry.call("/lookup/a", "2")).endsWith("second");
+		}
+	}
+
+	@Test
+	void shouldNotReturnASecondCopyThatIsSentAtOnceToTheNextCaller() throws Exception {
+		String copy = ScriptedTarget.response("1", "first");
+		try (ScriptedTarget target = new ScriptedTarget(copy + copy, ScriptedTarget.response("2", "second"),
+				ScriptedTarget.response("2", "second"))) {
+			this.entry.sendView("t-0", target);
+			assertThat(this.entry.call("/lookup/a", "1")).endsWith("first");
+			assertThat(this.entry.call("/lookup/a", "2")).endsWith("second");
+		}
+	}
+
+	@Test
+	void shouldNotReturnATruncatedChunkedResponse() throws Exception {
+		String truncated = "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+		try (ScriptedTarget target = new ScriptedTarget(truncated, ScriptedTarget.CLOSE)) {
+			this.entry.sendView("t-0", target);
+			assertThat(book("1")).startsWith("HTTP/1.1 50");
+		}
+	}
+
 	@Test
 	void shouldNotReturnATruncatedResponse() throws Exception {
 		String truncated = "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\nContent-Length: 50\r\nConnection: close\r\n\r\nhalf";
--- a/redwingramp-node/src/test/java/org/redwingramp/node/link/LinkMessageTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/link/LinkMessageTests.java
@@ -1,8 +1,10 @@
 package org.redwingramp.node.link;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 
 import org.junit.jupiter.api.Test;
 
@@ -50,6 +52,25 @@
 		}
 	}
 
+	// Any other exception than CodecException isn't handled as a malformed message.
+	@Test
+	void shouldRejectMalformedMessages() throws CodecException {
+		byte[] sample = Link.CODEC.encode(new LinkMessage.View(LinkWarmup.sampleView()));
+		for (int seed = 0; seed < 20_000; seed++) {
+			Random random = new Random(seed);
+			byte[] malformed = Arrays.copyOf(sample, 1 + random.nextInt(sample.length + 8));
+			for (int changes = random.nextInt(5); changes >= 0; changes--) {
+				malformed[random.nextInt(malformed.length)] = (byte) random.nextInt(256);
+			}
+			try {
+				assertThat(Link.CODEC.decode(malformed)).as("seed " + seed).isNotNull();
+			}
+			catch (CodecException ex) {
+				assertThat(ex).as("seed " + seed).hasMessageMatching("(?s).+");
+			}
+		}
+	}
+
 	@Test
 	void shouldEncodeAndDecodeEachCommandAndTheSnapshot() throws CodecException {
 		RecordCodec<FleetCommand> codec = RecordCodec.of(FleetCommand.class);
