Compress configurations on the links to entry instances

From 18 to 28 s, while configurations come in quick succession, all 88 entry instances acknowledged views 1.2 to 1.5 s late with nothing queued at the leader: each version of the whole document went to each of them over 2 Mbit/s, and 7,257 requests took over half of their latency objective to reach a target.

Change: the leader compresses a document once per version; entry instances restore it, and still accept a document that isn't compressed.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetView.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetView.java
@@ -15,8 +15,7 @@
  * view
  * @param configVersion the version of the configuration in force
  * @param instances the number of entry instances that share limits
- * @param document the configuration as the operator sent it, if the entry instance lacks
- * it
+ * @param document the configuration, possibly compressed, if the entry instance lacks it
  * @param targets the targets that were added or changed
  * @param removedTargets the names of targets that were removed
  * @param keys the ranges whose owner changed, by service
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -38,6 +38,7 @@
 import org.redwingramp.node.http.HttpServer;
 import org.redwingramp.node.link.Link;
 import org.redwingramp.node.link.LinkMessage;
+import org.redwingramp.node.link.PackedDocument;
 import org.redwingramp.node.loop.EventLoop;
 import org.redwingramp.storage.StorageException;
 
@@ -530,6 +531,10 @@
 	 */
 	private final class LeaderViewSource implements EntrySessions.ViewSource {
 
+		private long packedVersion = -1;
+
+		private byte[] packed = new byte[0];
+
 		@Override
 		public long term() {
 			return ControlNode.this.replica.term();
@@ -542,7 +547,11 @@
 
 		@Override
 		public byte[] document() {
-			return ControlNode.this.replica.state().document();
+			if (this.packedVersion != configVersion()) {
+				this.packed = PackedDocument.pack(ControlNode.this.replica.state().document());
+				this.packedVersion = configVersion();
+			}
+			return this.packed;
 		}
 
 		@Override
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -20,6 +20,7 @@
 import org.redwingramp.node.api.PlatformDialect;
 import org.redwingramp.node.http.ResponseMemoryLimit;
 import org.redwingramp.node.http.TargetConnections;
+import org.redwingramp.node.link.PackedDocument;
 import org.redwingramp.node.loop.EventLoop;
 
 /**
@@ -83,7 +84,7 @@
 			return Outcome.INCOMPLETE;
 		}
 		if (update.document().isPresent() && update.configVersion() > this.configVersion) {
-			TrafficConfig next = this.dialect.config(update.document().get());
+			TrafficConfig next = this.dialect.config(PackedDocument.unpack(update.document().get()));
 			this.config = Optional.of(next);
 			this.routes = Optional.of(new RouteTable(next));
 			this.roundRobins.clear();
