Serve requests that have arrived when a planned stop begins

Cause: draining closed each connection without a request in progress and discarded what it received afterwards. A request that was in the socket but not read yet, and the first request of a connection that had just been accepted, got no answer; the former also where the idle time of a connection ended.

Change: before closing, what has arrived is read and served; a connection that has had no response yet stays open for its first request. Bytes that arrive after the decision are left unread, so that the caller knows that its request was not read.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
@@ -62,6 +62,8 @@
 
 	private boolean headComplete;
 
+	private boolean responded;
+
 	private long requestStartNanos;
 
 	private long lastActivityNanos = System.nanoTime();
@@ -98,9 +100,21 @@
 		return this.current != null;
 	}
 
+	// Closes the connection for a planned stop, unless a request has arrived. A caller
+	// that has just connected is about to send one; its connection is closed with the
+	// response.
 	void closeIfIdle() {
-		if (this.current == null && !this.requestStarted) {
-			this.tcp.closeAfterWrite();
+		if (this.responded) {
+			closeUnlessRequestArrived();
+		}
+	}
+
+	// Serves a request that has arrived but wasn't read yet. Later bytes are left unread,
+	// which tells the caller that its request wasn't read.
+	private void closeUnlessRequestArrived() {
+		this.tcp.readAvailable();
+		if (this.current == null && !this.requestStarted && !this.tcp.closed()) {
+			this.tcp.closeWithoutReading();
 			this.server.connectionClosed(this);
 		}
 	}
@@ -114,10 +128,13 @@
 			return;
 		}
 		boolean stalled = this.requestStarted && idle > requestTimeout;
-		if (this.current == null && (stalled || (!this.requestStarted && idle > currentLimits.idleTimeoutNanos()))) {
+		if (this.current == null && stalled) {
 			this.tcp.closeAfterWrite();
 			this.server.connectionClosed(this);
 		}
+		else if (this.current == null && !this.requestStarted && idle > currentLimits.idleTimeoutNanos()) {
+			closeUnlessRequestArrived();
+		}
 	}
 
 	private void closeAndAbandon() {
@@ -169,6 +186,7 @@
 			return;
 		}
 		this.current = null;
+		this.responded = true;
 		this.requestStarted = false;
 		this.lastActivityNanos = System.nanoTime();
 		boolean close = this.server.draining() || this.legacyProtocol
--- a/redwingramp-node/src/main/java/org/redwingramp/node/loop/TcpConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/loop/TcpConnection.java
@@ -80,6 +80,15 @@
 		}
 	}
 
+	/**
+	 * Passes on bytes that have arrived but that the event loop hasn't read yet.
+	 */
+	public void readAvailable() {
+		if (this.connected && !closed()) {
+			read();
+		}
+	}
+
 	/**
 	 * Closes the connection once all queued bytes are written and the peer has closed its
 	 * side, or after a second.
@@ -92,6 +101,17 @@
 		}
 	}
 
+	/**
+	 * Closes the connection once all queued bytes are written, after a second at the
+	 * latest. Bytes that arrive meanwhile aren't read.
+	 */
+	public void closeWithoutReading() {
+		if (this.key != null && this.key.isValid()) {
+			this.key.interestOps(this.key.interestOps() & ~SelectionKey.OP_READ);
+		}
+		closeAfterWrite();
+	}
+
 	/**
 	 * Returns whether the connection is closed or being closed.
 	 * @return whether it is closed or being closed
