--- /dev/null
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/LoopbackServer.java
@@ -0,0 +1,51 @@
+package org.redwingramp.node.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+
+import org.redwingramp.node.loop.EventLoop;
+
+/**
+ * An {@link HttpServer} on a loopback address, with an event loop in a thread of its own.
+ * It responds to each request with status 200.
+ */
+final class LoopbackServer implements AutoCloseable {
+
+	final HttpServer server;
+
+	final EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
+
+	private final InetSocketAddress address;
+
+	LoopbackServer(HttpLimits limits) throws IOException {
+		this.server = HttpServer.create(() -> limits, (exchange) -> exchange.respond(HttpResponse.empty(200)));
+		ServerSocketChannel socket = this.loop.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+		this.address = (InetSocketAddress) socket.getLocalAddress();
+		this.server.accept(this.loop, socket);
+		Thread thread = new Thread(this::run, "loop");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	Socket connect() throws IOException {
+		return new Socket(this.address.getAddress(), this.address.getPort());
+	}
+
+	@Override
+	public void close() {
+		this.loop.stop();
+	}
+
+	private void run() {
+		try {
+			this.loop.run();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("event loop failed", ex);
+		}
+	}
+
+}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/PlannedStopTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/PlannedStopTests.java
@@ -1,10 +1,7 @@
 package org.redwingramp.node.http;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 
@@ -13,8 +10,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-import org.redwingramp.node.loop.EventLoop;
-
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -28,27 +23,16 @@
 
 	private static final String REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
-	private final HttpServer server = HttpServer.create(() -> LIMITS,
-			(exchange) -> exchange.respond(HttpResponse.empty(200)));
-
-	private EventLoop loop;
-
-	private InetSocketAddress address;
+	private LoopbackServer server;
 
 	@BeforeEach
 	void startServer() throws IOException {
-		this.loop = new EventLoop((failure) -> failure.printStackTrace());
-		ServerSocketChannel socket = this.loop.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-		this.address = (InetSocketAddress) socket.getLocalAddress();
-		this.server.accept(this.loop, socket);
-		Thread thread = new Thread(this::run, "loop");
-		thread.setDaemon(true);
-		thread.start();
+		this.server = new LoopbackServer(LIMITS);
 	}
 
 	@AfterEach
-	void stopLoop() {
-		this.loop.stop();
+	void stopServer() {
+		this.server.close();
 	}
 
 	@Test
@@ -88,10 +72,10 @@
 		CountDownLatch busy = new CountDownLatch(1);
 		CountDownLatch sent = new CountDownLatch(1);
 		CountDownLatch stopped = new CountDownLatch(1);
-		this.loop.post(() -> {
+		this.server.loop.post(() -> {
 			busy.countDown();
 			awaitUninterrupted(sent);
-			this.server.drain();
+			this.server.server.drain();
 			stopped.countDown();
 		});
 		busy.await();
@@ -112,8 +96,8 @@
 	}
 
 	private Socket connect() throws Exception {
-		Socket caller = new Socket(this.address.getAddress(), this.address.getPort());
-		for (int i = 0; i < 100 && this.server.connections() == 0; i++) {
+		Socket caller = this.server.connect();
+		for (int i = 0; i < 100 && this.server.server.connections() == 0; i++) {
 			Thread.sleep(10);
 		}
 		return caller;
@@ -136,15 +120,6 @@
 		return head.substring(0, Math.min(head.length(), "HTTP/1.1 200".length()));
 	}
 
-	private void run() {
-		try {
-			this.loop.run();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("event loop failed", ex);
-		}
-	}
-
 	/** An action that may fail with an I/O error. */
 	private interface IoAction {
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/SlowRequestHeadTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/SlowRequestHeadTests.java
@@ -2,10 +2,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
@@ -14,8 +11,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-import org.redwingramp.node.loop.EventLoop;
-
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -27,30 +22,21 @@
 
 	private static final HttpLimits LIMITS = new HttpLimits(16_384, 65_536, 500_000_000L, 15_000_000_000L);
 
-	private EventLoop loop;
-
-	private InetSocketAddress address;
+	private LoopbackServer server;
 
 	@BeforeEach
 	void startServer() throws IOException {
-		this.loop = new EventLoop((failure) -> failure.printStackTrace());
-		ServerSocketChannel socket = this.loop.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-		this.address = (InetSocketAddress) socket.getLocalAddress();
-		HttpServer.create(() -> LIMITS, (exchange) -> exchange.respond(HttpResponse.empty(200)))
-			.accept(this.loop, socket);
-		Thread thread = new Thread(this::run, "loop");
-		thread.setDaemon(true);
-		thread.start();
+		this.server = new LoopbackServer(LIMITS);
 	}
 
 	@AfterEach
-	void stopLoop() {
-		this.loop.stop();
+	void stopServer() {
+		this.server.close();
 	}
 
 	@Test
 	void shouldRejectRequestWhoseHeadArrivesByteByByte() throws Exception {
-		try (Socket caller = new Socket(this.address.getAddress(), this.address.getPort())) {
+		try (Socket caller = this.server.connect()) {
 			OutputStream out = caller.getOutputStream();
 			out.write("GET / HTTP/1.1\r\nX: ".getBytes(StandardCharsets.US_ASCII));
 			for (int i = 0; i < 100 && caller.getInputStream().available() == 0; i++) {
@@ -69,13 +55,4 @@
 		assertThat(Header.lists(List.of(new Header("Connection", "close-notify")), "connection", "close")).isFalse();
 	}
 
-	private void run() {
-		try {
-			this.loop.run();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException(ex);
-		}
-	}
-
 }
