State once which services are granted keys by heartbeat

Cause: four places in FleetController compared a service's grant mode on their own, and a comment in ControlNode was broken over its lines. Change: one method, the sender of a heartbeat that may be granted keys has a name of its own, one health lookup uses the accessor. Behaviour is unchanged.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -164,7 +164,7 @@
 	 * @return whether the target is about to receive keys
 	 */
 	public boolean awaitsKeys(TargetHeartbeat heartbeat, long receivedNanos, long now) {
-		return grantedByHeartbeat(heartbeat)
+		return grantableSender(heartbeat)
 			.filter((target) -> this.heartbeatDelivery.awaitsKeys(target, receivedNanos, now))
 			.isPresent();
 	}
@@ -179,13 +179,13 @@
 	 * its latest one
 	 */
 	public Optional<LeaseRenewal> renewal(TargetHeartbeat heartbeat, long now) {
-		return grantedByHeartbeat(heartbeat).map((target) -> this.heartbeatDelivery.renewal(target, now));
+		return grantableSender(heartbeat).map((target) -> this.heartbeatDelivery.renewal(target, now));
 	}
 
 	// Returns the sender of a heartbeat if the reply may grant it keys.
-	private Optional<FleetTarget> grantedByHeartbeat(TargetHeartbeat heartbeat) {
+	private Optional<FleetTarget> grantableSender(TargetHeartbeat heartbeat) {
 		return this.state.target(heartbeat.target().owner())
-			.filter((target) -> this.shardedServices.get(target.service()) == GrantMode.HEARTBEAT)
+			.filter((target) -> grantedByHeartbeat(target.service()))
 			.filter((target) -> health(target).isLatest(heartbeat.sequence()))
 			.filter((target) -> !addressTaken(target));
 	}
@@ -257,7 +257,7 @@
 	private void quarantineFormerIncarnations(FleetTarget target, long now) {
 		// A reply to a heartbeat reaches only the incarnation that sent it.
 		this.leases.all()
-			.filter((lease) -> this.shardedServices.get(lease.service()) != GrantMode.HEARTBEAT)
+			.filter((lease) -> !grantedByHeartbeat(lease.service()))
 			.map((lease) -> lease.range().owner())
 			.filter((owner) -> owner.target().equals(target.name()) && owner.born() != target.born())
 			.distinct()
@@ -424,8 +424,7 @@
 		if (wasCold != health.cold(now)) {
 			this.viewChanges++;
 		}
-		if (this.shardedServices.get(known.service()) == GrantMode.HEARTBEAT
-				&& this.heartbeatDelivery.reported(known, heartbeat.keys())) {
+		if (grantedByHeartbeat(known.service()) && this.heartbeatDelivery.reported(known, heartbeat.keys())) {
 			assignUnownedRanges(known.service(), now);
 		}
 		boolean startsDraining = known.stage() == Stage.SERVING && heartbeat.target().stage() == Stage.DRAINING;
@@ -489,7 +488,11 @@
 	}
 
 	private GrantDelivery delivery(String service) {
-		return (this.shardedServices.get(service) == GrantMode.HEARTBEAT) ? this.heartbeatDelivery : this.callDelivery;
+		return grantedByHeartbeat(service) ? this.heartbeatDelivery : this.callDelivery;
+	}
+
+	private boolean grantedByHeartbeat(String service) {
+		return this.shardedServices.get(service) == GrantMode.HEARTBEAT;
 	}
 
 	// Returns whether a proposed command takes the range away from its owner. Once it is
@@ -683,7 +686,7 @@
 	}
 
 	private boolean mayReceiveKeys(FleetTarget target, long now) {
-		TargetHealth health = this.healthByTarget.get(target.name());
+		TargetHealth health = health(target);
 		return mayKeepKeys(target) && !health.cold(now) && delivery(target.service()).reachable(health, now)
 				&& !health.lost(now);
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -454,10 +454,8 @@
 		this.replica.propose(command.get(), (result) -> reply.accept(result.isPresent() ? accepted() : undecided()));
 	}
 
-	// Grants keys in the reply to a heartbeat, unless this replica has lost the
-	// leadership
-	// in which it received the heartbeat. Delays the reply while the target is about to
-	// receive keys.
+	// Grants keys in the reply to a heartbeat, unless the leadership in which it was
+	// received has ended. Delays the reply while the target is about to receive keys.
 	private void grantKeys(ControlAnswer answer, TargetHeartbeat heartbeat, FleetController receiver,
 			long receivedNanos, Consumer<ControlAnswer> reply) {
 		boolean mayGrant = answer.kind() == Kind.ACCEPTED && mayAct()
