Log the rate limits that targets state

Cause: logs show requests and key moves but not what a target says of itself, so the hypotheses on LIMIT can't be told apart. No request is treated differently.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/api/ResponseFields.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/api/ResponseFields.java
@@ -1,6 +1,7 @@
 package org.redwingramp.node.api;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -14,7 +15,9 @@
  * themselves
  * @param load the load that the target reports, if any
  * @param coldLeftMillis the remaining time in which the target is cold, if it reports one
+ * @param limitPerSecond the requests per second that the target accepts from all entry
+ * instances together, if it states a limit
  */
 public record ResponseFields(Optional<String> requestId, boolean signed, boolean notRun, boolean encoded,
-		Optional<TargetLoad> load, OptionalLong coldLeftMillis) {
+		Optional<TargetLoad> load, OptionalLong coldLeftMillis, OptionalDouble limitPerSecond) {
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
@@ -1,5 +1,6 @@
 package org.redwingramp.node.entry;
 
+import java.util.OptionalDouble;
 import java.util.concurrent.ThreadLocalRandom;
 
 import org.redwingramp.core.dispatch.ColdRateLimiter;
@@ -26,6 +27,8 @@
 
 	private long coldUntilNanos;
 
+	private OptionalDouble limitPerSecond = OptionalDouble.empty();
+
 	private int responses;
 
 	private double expectedMillis;
@@ -75,6 +78,13 @@
 		this.coldUntilNanos = nanos;
 	}
 
+	// Records the rate limit stated in a response and returns whether it has changed.
+	boolean limitStated(OptionalDouble perSecond) {
+		boolean changed = !this.limitPerSecond.equals(perSecond);
+		this.limitPerSecond = perSecond;
+		return changed;
+	}
+
 	// Returns whether one more request may be sent under the rate limit of a cold
 	// target.
 	boolean tryAcquireColdToken(double perSecond, int instances, long now) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import org.redwingramp.core.routing.RetryBudget;
 import org.redwingramp.core.traffic.Route;
@@ -247,6 +248,7 @@
 		EntryTarget sender = endAttempt();
 		responseFields.load().ifPresent((load) -> sender.tracker().loadReported(load.running(), load.waiting(), now));
 		responseFields.coldLeftMillis().ifPresent((millis) -> sender.extendColdTime(millis, now));
+		limitStated(sender, responseFields);
 		if (responseFields.notRun() || response.status() == MISDIRECTED_STATUS) {
 			requestNotRun(sender, response.status(), now);
 			return;
@@ -273,6 +275,18 @@
 				this.node.dialect().callerResponse(response), 0);
 	}
 
+	// Only a response that the target itself produced withdraws a limit by not naming
+	// one.
+	private void limitStated(EntryTarget sender, ResponseFields responseFields) {
+		OptionalDouble perSecond = responseFields.limitPerSecond();
+		boolean genuine = perSecond.isPresent() || responseFields.signed() || responseFields.notRun();
+		if (genuine && sender.limitStated(perSecond)) {
+			this.node.events()
+				.log(NodeEvent.TARGET_LIMIT, "target", sender.name(), "per-second", perSecond.orElse(-1), "request",
+						this.fields.id().orElse(""), "view", this.node.view().sequence());
+		}
+	}
+
 	// Handles a response which states that the target didn't run the request. Status 421
 	// means that the target doesn't own the key or isn't the addressed instance.
 	private void requestNotRun(EntryTarget sender, int status, long now) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
@@ -68,6 +68,9 @@
 	/** An entry instance has fallen behind in acknowledging views, or has caught up. */
 	ENTRY_BEHIND(7207, true),
 
+	/** A target named, changed or withdrew a limit of its request rate. */
+	TARGET_LIMIT(7208, true),
+
 	/** This replica's role changed. */
 	ROLE_CHANGED(7301, false),
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -47,7 +48,8 @@
 
 	@Override
 	public ResponseFields responseFields(List<Header> headers) {
-		return new ResponseFields(Optional.empty(), false, false, false, Optional.empty(), OptionalLong.empty());
+		return new ResponseFields(Optional.empty(), false, false, false, Optional.empty(), OptionalLong.empty(),
+				OptionalDouble.empty());
 	}
 
 	@Override
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -57,7 +58,10 @@
 	@Override
 	public ResponseFields responseFields(List<Header> headers) {
 		return new ResponseFields(Header.find(headers, "Id"), Header.find(headers, "Signed").isPresent(),
-				Header.find(headers, "Not-Run").isPresent(), false, Optional.empty(), OptionalLong.empty());
+				Header.find(headers, "Not-Run").isPresent(), false, Optional.empty(), OptionalLong.empty(),
+				Header.find(headers, "Limit")
+					.map((value) -> OptionalDouble.of(Double.parseDouble(value)))
+					.orElse(OptionalDouble.empty()));
 	}
 
 	@Override
