Add a failing test of the rate limit of a target

Cause: a target that states a limit of 2 requests a second gets all 40 requests of 2 s, since nothing limits them; the platform's rule allows 17 in 4 s.

--- /dev/null
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
@@ -0,0 +1,80 @@
+package org.redwingramp.node.entry;
+
+import java.io.IOException;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a target that gets more requests than the rate limit that it states in
+ * its responses allows.
+ */
+@Timeout(30)
+class TargetRateLimitTests {
+
+	private static final double LIMIT_PER_SECOND = 2;
+
+	/** Requests within four seconds that break the platform's rule if exceeded. */
+	private static final int ALLOWED = (int) (1.5 * 4 * LIMIT_PER_SECOND) + 5;
+
+	private static final int CALLS = 40;
+
+	private static final String LIMITED = "HTTP/1.1 200 OK\r\nSigned: 1\r\nLimit: " + LIMIT_PER_SECOND
+			+ "\r\nContent-Length: 1\r\n\r\nx";
+
+	private final ExecutorService callers = Executors.newFixedThreadPool(CALLS);
+
+	private EntryFixture entry;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.entry = new EntryFixture();
+	}
+
+	@AfterEach
+	void stop() {
+		this.callers.shutdownNow();
+		this.entry.close();
+	}
+
+	// Guards against a limit that nothing reads: all requests went to the target.
+	@Test
+	@Tag("known-red")
+	void shouldNotExceedTheRateLimitOfTheOwnerOfAKey() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(Collections.nCopies(CALLS, LIMITED).toArray(String[]::new))) {
+			this.entry.sendView("t-0", target);
+			List<String> responses = callAtIntervals(50);
+			assertThat(target.requests).hasSizeLessThanOrEqualTo(ALLOWED);
+			assertThat(responses).allMatch((response) -> response.matches("(?s)HTTP/1.1 (200|503) .*"));
+		}
+	}
+
+	private List<String> callAtIntervals(long millis) throws Exception {
+		List<CompletableFuture<String>> responses = IntStream.range(0, CALLS)
+			.mapToObj((i) -> CompletableFuture.supplyAsync(() -> lookUp(i, i * millis), this.callers))
+			.toList();
+		return responses.stream().map(CompletableFuture::join).toList();
+	}
+
+	private String lookUp(int id, long delayMillis) {
+		try {
+			Thread.sleep(delayMillis);
+			return this.entry.call("/lookup/a", Integer.toString(id));
+		}
+		catch (IOException | InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+}
