Log which requests broke with their targets

What callers of similar systems saw: one request crashed target after target (BUDGET). Logs name the id of a request, which is new each time it comes, so the guilty request can't be told from those beside it. No request is treated differently.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -101,6 +101,8 @@
 
 	private boolean mayHaveRun;
 
+	private String digest;
+
 	private boolean finished;
 
 	private boolean keyUseRecorded;
@@ -384,6 +386,7 @@
 		}
 		if (failure.mayHaveRun()) {
 			this.mayHaveRun = true;
+			connectionBroken(sender, failure);
 			retryOrFail(sender, failure.cause().name(), now);
 			return;
 		}
@@ -397,6 +400,21 @@
 		}
 	}
 
+	private void connectionBroken(EntryTarget sender, CallFailure failure) {
+		if (failure.cause() == CallFailure.Cause.BROKEN_OFF) {
+			this.node.events()
+				.log(NodeEvent.CONNECTION_BROKEN, "request", this.fields.id().orElse(""), "target", sender.name(),
+						"digest", digest(), "sends", this.sends);
+		}
+	}
+
+	private String digest() {
+		if (this.digest == null) {
+			this.digest = RequestDigest.of(this.exchange.request(), this.fields);
+		}
+		return this.digest;
+	}
+
 	// The sole owner of a key is avoided only if no connection to it can be
 	// established. An error response or a lost response doesn't predict the outcome
 	// of the next request.
--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
@@ -47,6 +47,9 @@
 	/** It was decided whether a request may be sent to a target with a rate limit. */
 	RATE_PERMIT(7107, true),
 
+	/** A target broke the connection on which it had received a request. */
+	CONNECTION_BROKEN(7108, true),
+
 	/**
 	 * This instance applied a view that contains a configuration, or didn't apply a view
 	 * because it was outdated or based on another view than the current one.
