--- /dev/null
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashingTarget.java
@@ -0,0 +1,125 @@
+package org.redwingramp.node.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * A target that crashes when it begins to run a request with {@code deadly} in its path:
+ * all its connections break and its port is closed until {@link #restart()}. It delays
+ * other responses, so that requests are in flight when it crashes. Thread safe.
+ */
+final class CrashingTarget implements AutoCloseable {
+
+	private static final long RESPONSE_DELAY_MILLIS = 60;
+
+	final List<String> crashes = new CopyOnWriteArrayList<>();
+
+	private final int port;
+
+	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
+	private volatile ServerSocket server;
+
+	CrashingTarget() throws IOException {
+		this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+		this.port = this.server.getLocalPort();
+		start(this::accept);
+	}
+
+	String address() {
+		return "127.0.0.1:" + this.port;
+	}
+
+	boolean crashed() {
+		return this.server.isClosed();
+	}
+
+	void restart() throws IOException {
+		if (crashed()) {
+			ServerSocket next = new ServerSocket();
+			next.setReuseAddress(true);
+			next.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), this.port));
+			this.server = next;
+			start(this::accept);
+		}
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.server.close();
+	}
+
+	private void accept() {
+		ServerSocket current = this.server;
+		try {
+			while (true) {
+				Socket socket = current.accept();
+				this.connections.add(socket);
+				start(() -> serve(socket));
+			}
+		}
+		catch (IOException ex) {
+			// The target crashed or the test has ended.
+		}
+	}
+
+	private void serve(Socket socket) {
+		try (socket) {
+			String head = readHead(socket.getInputStream());
+			while (!head.isEmpty()) {
+				if (head.contains("deadly")) {
+					crash(head);
+					return;
+				}
+				Thread.sleep(RESPONSE_DELAY_MILLIS);
+				socket.getOutputStream()
+					.write("HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok"
+						.getBytes(StandardCharsets.US_ASCII));
+				head = readHead(socket.getInputStream());
+			}
+		}
+		catch (IOException | InterruptedException ex) {
+			// The target crashed or the test has ended.
+		}
+		finally {
+			this.connections.remove(socket);
+		}
+	}
+
+	private void crash(String head) throws IOException {
+		this.crashes.add(head);
+		this.server.close();
+		for (Socket connection : this.connections) {
+			connection.setSoLinger(true, 0);
+			connection.close();
+		}
+	}
+
+	private static String readHead(InputStream input) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (!head.toString().endsWith("\r\n\r\n")) {
+			int next = input.read();
+			if (next < 0) {
+				return "";
+			}
+			head.append((char) next);
+		}
+		return head.toString();
+	}
+
+	private static void start(Runnable action) {
+		Thread thread = new Thread(action, "crashing target");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.redwingramp.core.fleet.FleetView;
 import org.redwingramp.core.fleet.FleetView.ViewRange;
@@ -78,9 +80,17 @@
 	// applied. The named target owns all keys; an empty name means that they are
 	// being moved.
 	void sendView(String owner, ScriptedTarget... targets) throws Exception {
+		sendView(owner, Stream.of(targets).map(ScriptedTarget::address).toList());
+	}
+
+	void sendView(String owner, CrashingTarget target) throws Exception {
+		sendView(owner, List.of(target.address()));
+	}
+
+	private void sendView(String owner, List<String> addresses) throws Exception {
 		this.sequence++;
-		List<ViewTarget> list = java.util.stream.IntStream.range(0, targets.length)
-			.mapToObj((i) -> new ViewTarget("t-" + i, "s", targets[i].address(), "d", 3, true, 0))
+		List<ViewTarget> list = IntStream.range(0, addresses.size())
+			.mapToObj((i) -> new ViewTarget("t-" + i, "s", addresses.get(i), "d", 3, true, 0))
 			.toList();
 		FleetView view = new FleetView(1, this.sequence, 0, 1, 1, Optional.of(new byte[] { 1 }), list, List.of(),
 				Map.of("s", List.of(new ViewRange(0, 65_535, owner))), List.of());
