--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
@@ -45,7 +45,7 @@
 	REQUEST_WAITS(7106, true),
 
 	/** It was decided whether a request may be sent to a target with a rate limit. */
-	RATE_PERMIT(7107, true),
+	RATE_PERMIT(7107, false),
 
 	/** A target broke the connection on which it had received a request. */
 	CONNECTION_BROKEN(7108, true),
