Share the rate of cold targets by permits

The rate of a cold target was divided by the number of entry instances: 11 requests a second over 88 instances are one in 8 s each, so nearly all requests were refused while the target had room. Change: a request to a cold target asks the leader for a permit like one to a target that states a limit; the lower of both rates counts. Permits go to requests that are still answered within their latency objective. An instance that was told when the next permit is due refuses until then without asking. The bucket holds a quarter of a second of the rate, so that a second has at most 1.25 times the rate from permits and half of it from instances without a leader. Measured: TargetRateLimitTests.shouldUseTheRateOfAColdTarget... failed (40 requests in 2 s at 20 a second with 88 instances: nearly all refused) and passes.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/RateReservations.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/RateReservations.java
@@ -15,7 +15,7 @@
 	private static final double NANOS_PER_SECOND = 1e9;
 
 	/** Capacity of a bucket in seconds of its rate; at least one permit. */
-	private static final double CAPACITY_SECONDS = 0.5;
+	private static final double CAPACITY_SECONDS = 0.25;
 
 	/**
 	 * Rate at which requests are sent to a target that accepts fewer or none. Only a
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -277,15 +277,19 @@
 
 	/**
 	 * Reserves a permit to send one request to a target whose request rate is limited.
-	 * @param limit the limit as the entry instance knows it
+	 * @param target the name of the target
+	 * @param perSecond the rate at which all entry instances together may send requests,
+	 * as far as the asking one knows
+	 * @param stated the limit that the target stated, if it is known
 	 * @param maxDelayNanos the longest time that the request may wait, in nanoseconds
 	 * @param now the monotonic time in nanoseconds
 	 * @return the reservation
 	 */
-	public Reservation reserve(Observation limit, long maxDelayNanos, long now) {
-		recordObservation(Observed.of(limit, now));
-		double perSecond = this.observations.value(limit.kind(), limit.subject(), now).orElse(limit.value());
-		return this.rateReservations.reserve(limit.subject(), perSecond, maxDelayNanos, now);
+	public Reservation reserve(String target, double perSecond, Optional<Observation> stated, long maxDelayNanos,
+			long now) {
+		stated.ifPresent((limit) -> recordObservation(Observed.of(limit, now)));
+		double limit = this.observations.value(ObservationKind.TARGET_LIMIT, target, now).orElse(Double.MAX_VALUE);
+		return this.rateReservations.reserve(target, Math.min(limit, perSecond), maxDelayNanos, now);
 	}
 
 	/**
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -358,7 +358,8 @@
 			return;
 		}
 		Reservation reservation = this.controller.get()
-			.reserve(request.limit(), request.maxDelayMillis() * MILLISECOND, System.nanoTime());
+			.reserve(request.target(), request.perSecond(), request.stated(), request.maxDelayMillis() * MILLISECOND,
+					System.nanoTime());
 		this.events.metrics().count("permits", reservation.granted() ? "granted" : "refused");
 		link.send(new LinkMessage.PermitReply(request.number(), reservation.granted(),
 				TimeUnit.NANOSECONDS.toMillis(reservation.delayNanos())));
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlWarmup.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlWarmup.java
@@ -83,7 +83,7 @@
 		Observation limit = new Observation(ObservationKind.TARGET_LIMIT, "t-0", 1, 0);
 		controller.report("e", new EntryReport(List.of(new EntryReport.TargetUse("t-0", 1, 1, 1)),
 				List.of(new EntryReport.KeyUse(SERVICE, 1, 1)), List.of(limit)), 0);
-		controller.reserve(limit, 0, 0);
+		controller.reserve("t-0", 1, Optional.of(limit), 0, 0);
 		FleetController restarted = new FleetController(state, new ImmediateOutput(state), LeaseTiming.DEFAULT, 0);
 		restarted.shardedServices(Map.of(SERVICE, GrantMode.CALL));
 		restarted.tick(LeaseTiming.DEFAULT.renewNanos());
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
@@ -17,23 +17,23 @@
 final class EntryTarget {
 
 	/**
-	 * The part of a target's rate limit that entry instances share without a leader.
-	 * Others may still use permits of the former leader or of the next one.
+	 * The part of a target's rate that entry instances share without a leader. Others may
+	 * still use permits of the former leader or of the next one.
 	 */
-	private static final double LIMIT_SHARED_WITHOUT_LEADER = 0.5;
+	private static final double RATE_SHARED_WITHOUT_LEADER = 0.5;
 
 	private final TargetConnections connections;
 
 	private final TargetTracker tracker;
 
-	private SharedRateLimiter coldRateLimiter;
-
-	private SharedRateLimiter limitShare;
+	private SharedRateLimiter rateShare;
 
 	private ViewTarget view;
 
 	private long coldUntilNanos;
 
+	private long nextPermitNanos;
+
 	private int responses;
 
 	private double expectedMillis;
@@ -44,12 +44,13 @@
 		this.connections = connections;
 		this.tracker = tracker;
 		this.coldUntilNanos = now;
+		this.nextPermitNanos = now;
 		update(view, now);
 	}
 
 	void update(ViewTarget next, long now) {
 		this.view = next;
-		setColdUntil(now + next.coldLeftMillis() * 1_000_000, now);
+		this.coldUntilNanos = now + next.coldLeftMillis() * 1_000_000;
 	}
 
 	ViewTarget view() {
@@ -73,34 +74,29 @@
 	}
 
 	void extendColdTime(long millis, long now) {
-		setColdUntil(Math.max(this.coldUntilNanos, now + millis * 1_000_000), now);
-	}
-
-	private void setColdUntil(long nanos, long now) {
-		if (this.coldRateLimiter == null || !cold(now)) {
-			this.coldRateLimiter = new SharedRateLimiter(now, ThreadLocalRandom.current().nextDouble());
-		}
-		this.coldUntilNanos = nanos;
+		this.coldUntilNanos = Math.max(this.coldUntilNanos, now + millis * 1_000_000);
 	}
 
 	// Returns whether one more request may be sent within this instance's share of the
-	// target's own rate limit, while no leader shares the rate.
-	boolean tryAcquireLimitShare(double perSecond, int instances, long now) {
-		if (this.limitShare == null) {
-			this.limitShare = new SharedRateLimiter(now, ThreadLocalRandom.current().nextDouble());
+	// target's rate, while no leader shares the rate.
+	boolean tryAcquireShare(double perSecond, int instances, long now) {
+		if (this.rateShare == null) {
+			this.rateShare = new SharedRateLimiter(now, ThreadLocalRandom.current().nextDouble());
 		}
-		return this.limitShare.tryAcquire(perSecond * LIMIT_SHARED_WITHOUT_LEADER, instances, now);
+		return this.rateShare.tryAcquire(perSecond * RATE_SHARED_WITHOUT_LEADER, instances, now);
 	}
 
-	// Ends the use of the share, so that no tokens are saved up for the next time.
-	void limitSharedByLeader() {
-		this.limitShare = null;
+	// Ends the use of the share, so that no tokens are saved up for the next time, and
+	// records when the leader has the next permit.
+	void rateSharedByLeader(long nextPermitMillis, long now) {
+		this.rateShare = null;
+		this.nextPermitNanos = now + nextPermitMillis * 1_000_000;
 	}
 
-	// Returns whether one more request may be sent under the rate limit of a cold
-	// target.
-	boolean tryAcquireColdToken(double perSecond, int instances, long now) {
-		return !cold(now) || this.coldRateLimiter.tryAcquire(perSecond, instances, now);
+	// Returns the time until the leader has a permit, as far as this instance knows. It
+	// can only become longer as others ask for permits.
+	long nextPermitMillis(long now) {
+		return Math.max(0, (this.nextPermitNanos - now) / 1_000_000);
 	}
 
 	void recordResponse(double expected, double elapsed) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RatePermits.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RatePermits.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.function.Predicate;
 
-import org.redwingramp.core.observation.Observation;
 import org.redwingramp.node.link.LinkMessage;
 import org.redwingramp.node.loop.EventLoop;
 import org.redwingramp.node.loop.Timer;
@@ -39,10 +38,11 @@
 	}
 
 	// Asks for a permit that becomes usable within the given time.
-	Permit request(Observation limit, long maxDelayMillis, Listener listener) {
+	Permit request(String target, TargetRate rate, long maxDelayMillis, Listener listener) {
 		Permit permit = new Permit(this.nextNumber++, listener);
 		this.pending.put(permit.number, permit);
-		boolean sent = this.leader.test(new LinkMessage.PermitRequest(permit.number, limit, maxDelayMillis));
+		boolean sent = this.leader.test(new LinkMessage.PermitRequest(permit.number, target, rate.perSecond(),
+				rate.statedToSend(System.nanoTime()), maxDelayMillis));
 		permit.timer = this.loop.schedule(sent ? REPLY_TIMEOUT_NANOS : 0, () -> {
 			if (this.pending.remove(permit.number) != null) {
 				listener.noReply();
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -7,7 +7,6 @@
 import java.util.OptionalLong;
 
 import org.redwingramp.core.observation.Observation;
-import org.redwingramp.core.observation.ObservationTable.Observed;
 import org.redwingramp.core.routing.RetryBudget;
 import org.redwingramp.core.traffic.Route;
 import org.redwingramp.core.traffic.ServiceSpec;
@@ -230,31 +229,45 @@
 			refuseOrFail(Refusal.OVERLOADED, this.node.admission().retryAfterMillis(wait, work, remaining));
 			return;
 		}
-		double coldPerSecond = this.node.view()
-			.service(this.service)
-			.map(ServiceSpec::coldPerSecond)
-			.filter((rate) -> rate > 0)
-			.orElse(Double.MAX_VALUE);
-		if (!candidate.tryAcquireColdToken(coldPerSecond, this.node.view().limitSharingInstances(), now)) {
-			refuseOrFail(Refusal.COLD, DEFAULT_RETRY_AFTER_MILLIS);
-			return;
-		}
-		Optional<Observed> limit = this.node.limit(candidate, now);
-		if (limit.isEmpty()) {
+		Optional<TargetRate> rate = rate(candidate, now);
+		if (rate.isEmpty()) {
 			send(candidate, now);
 		}
 		else {
-			requestPermit(candidate, limit.get(), now);
+			requestPermit(candidate, rate.get(), now);
+		}
+	}
+
+	private Optional<TargetRate> rate(EntryTarget target, long now) {
+		OptionalDouble coldPerSecond = this.node.view()
+			.service(this.service)
+			.filter((spec) -> target.cold(now) && spec.coldPerSecond() > 0)
+			.map((spec) -> OptionalDouble.of(spec.coldPerSecond()))
+			.orElse(OptionalDouble.empty());
+		return TargetRate.lowest(this.node.limit(target, now), coldPerSecond);
+	}
+
+	private void requestPermit(EntryTarget candidate, TargetRate rate, long now) {
+		long maxDelay = maxPermitDelayMillis(candidate, now);
+		long nextPermit = candidate.nextPermitMillis(now);
+		PermitOutcome outcome = new PermitOutcome(candidate, rate, now);
+		if (nextPermit > maxDelay) {
+			outcome.refusedAs("no-permit-due", nextPermit);
+		}
+		else {
+			this.permit = this.node.permits().request(candidate.name(), rate, maxDelay, outcome);
 		}
 	}
 
-	// A request that another target can run doesn't wait for a permit.
-	private void requestPermit(EntryTarget candidate, Observed limit, long now) {
+	// Permits are scarce, so they go to requests that are still answered within the
+	// latency objective. A request that another target can run doesn't wait for one.
+	private long maxPermitDelayMillis(EntryTarget candidate, long now) {
+		double work = candidate.tracker().serviceMillis();
+		double elapsed = (now - this.exchange.receivedNanos()) / (double) MILLISECOND;
+		double inTime = this.route.targetLatencyMillis() - elapsed - work;
+		double admitted = this.node.admission().maxWaitMillis(work, remainingMillis(now), this.route.priority());
 		boolean alternatives = !this.sharded && hasUnlimitedTarget(now);
-		double maxDelay = alternatives ? 0 : this.node.admission()
-			.maxWaitMillis(candidate.tracker().serviceMillis(), remainingMillis(now), this.route.priority());
-		this.permit = this.node.permits()
-			.request(limit.toSend(now), (long) Math.max(0, maxDelay), new PermitOutcome(candidate, limit, now));
+		return alternatives ? 0 : (long) Math.max(0, Math.min(inTime, admitted));
 	}
 
 	private boolean hasUnlimitedTarget(long now) {
@@ -262,7 +275,7 @@
 			.targets(this.service)
 			.stream()
 			.anyMatch((target) -> !this.refusedBy.contains(target.name()) && !target.tracker().avoided(now)
-					&& this.node.limit(target, now).isEmpty());
+					&& rate(target, now).isEmpty());
 	}
 
 	// Sends the request unless its key has another owner by now.
@@ -280,7 +293,7 @@
 		}
 	}
 
-	private void permitRefused(EntryTarget candidate, long delayMillis) {
+	private void permitRefused(EntryTarget candidate, Refusal reason, long delayMillis) {
 		long now = System.nanoTime();
 		if (!this.sharded && hasUnlimitedTarget(now)) {
 			this.refusedBy.add(candidate.name());
@@ -288,8 +301,7 @@
 			return;
 		}
 		double work = candidate.tracker().serviceMillis();
-		refuseOrFail(Refusal.RATE_LIMITED,
-				this.node.admission().retryAfterMillis(delayMillis, work, remainingMillis(now)));
+		refuseOrFail(reason, this.node.admission().retryAfterMillis(delayMillis, work, remainingMillis(now)));
 	}
 
 	private void send(EntryTarget candidate, long now) {
@@ -622,40 +634,44 @@
 
 		private final EntryTarget candidate;
 
-		private final Observed limit;
+		private final TargetRate rate;
 
 		private final long requestedNanos;
 
-		PermitOutcome(EntryTarget candidate, Observed limit, long now) {
+		PermitOutcome(EntryTarget candidate, TargetRate rate, long now) {
 			this.candidate = candidate;
-			this.limit = limit;
+			this.rate = rate;
 			this.requestedNanos = now;
 		}
 
 		@Override
 		public void granted() {
 			log("granted");
-			this.candidate.limitSharedByLeader();
+			this.candidate.rateSharedByLeader(0, System.nanoTime());
 			sendPermitted(this.candidate);
 		}
 
 		@Override
 		public void refused(long retryAfterMillis) {
-			log("refused");
-			this.candidate.limitSharedByLeader();
-			permitRefused(this.candidate, retryAfterMillis);
+			this.candidate.rateSharedByLeader(retryAfterMillis, System.nanoTime());
+			refusedAs("refused", retryAfterMillis);
+		}
+
+		void refusedAs(String outcome, long retryAfterMillis) {
+			log(outcome);
+			permitRefused(this.candidate, this.rate.reason(), retryAfterMillis);
 		}
 
 		@Override
 		public void noReply() {
-			boolean share = this.candidate.tryAcquireLimitShare(this.limit.value(),
+			boolean share = this.candidate.tryAcquireShare(this.rate.perSecond(),
 					RequestExecution.this.node.view().limitSharingInstances(), System.nanoTime());
-			log(share ? "share" : "no-share");
 			if (share) {
+				log("share");
 				sendPermitted(this.candidate);
 			}
 			else {
-				permitRefused(this.candidate, DEFAULT_RETRY_AFTER_MILLIS);
+				refusedAs("no-share", DEFAULT_RETRY_AFTER_MILLIS);
 			}
 		}
 
@@ -665,9 +681,9 @@
 			RequestExecution.this.node.events().metrics().count("rate_permits", outcome);
 			RequestExecution.this.node.events()
 				.log(NodeEvent.RATE_PERMIT, "request", RequestExecution.this.fields.id().orElse(""), "permit", outcome,
-						"target", this.candidate.name(), "per-second", this.limit.value(), "limit-age",
-						this.limit.ageMillis(now), "millis", (now - this.requestedNanos) / MILLISECOND, "control-age",
-						RequestExecution.this.node.leaderContactAgeMillis(now));
+						"target", this.candidate.name(), "per-second", this.rate.perSecond(), "limit-age",
+						this.rate.statedAgeMillis(now), "millis", (now - this.requestedNanos) / MILLISECOND,
+						"control-age", RequestExecution.this.node.leaderContactAgeMillis(now));
 		}
 
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
@@ -44,7 +44,10 @@
 	/** A request waits because no usable target is known to own its key. */
 	REQUEST_WAITS(7106, true),
 
-	/** It was decided whether a request may be sent to a target with a rate limit. */
+	/**
+	 * It was decided whether a request may be sent to a target that is cold or states a
+	 * rate limit.
+	 */
 	RATE_PERMIT(7107, false),
 
 	/** A target broke the connection on which it had received a request. */
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkMessage.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkMessage.java
@@ -1,5 +1,7 @@
 package org.redwingramp.node.link;
 
+import java.util.Optional;
+
 import org.redwingramp.core.consensus.PeerMessage;
 import org.redwingramp.core.consensus.ReplicaId;
 import org.redwingramp.core.fleet.EntryReport;
@@ -94,13 +96,16 @@
 
 	/**
 	 * Asks the leader for a permit to send one request to a target whose request rate is
-	 * limited.
+	 * limited, since it is cold or states a limit.
 	 *
 	 * @param number identifies the permit on this link; the reply repeats it
-	 * @param limit the limit as the entry instance knows it
+	 * @param target the name of the target
+	 * @param perSecond the rate at which all entry instances together may send requests
+	 * @param stated the limit that the target stated, if any
 	 * @param maxDelayMillis the longest time that the request may wait, in milliseconds
 	 */
-	record PermitRequest(long number, Observation limit, long maxDelayMillis) implements LinkMessage {
+	record PermitRequest(long number, String target, double perSecond, Optional<Observation> stated,
+			long maxDelayMillis) implements LinkMessage {
 	}
 
 	/**
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
@@ -36,7 +36,7 @@
 		roundTrip(new LinkMessage.LeaderInfo("l", true, List.of("l")));
 		roundTrip(new LinkMessage.Report("e", 1, 1, report));
 		roundTrip(new LinkMessage.View(sampleView()));
-		roundTrip(new LinkMessage.PermitRequest(1, SAMPLE_LIMIT, 1));
+		roundTrip(new LinkMessage.PermitRequest(1, "t", 1, Optional.of(SAMPLE_LIMIT), 1));
 		roundTrip(new LinkMessage.PermitReply(1, true, 1));
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
@@ -58,6 +58,34 @@
 		}
 	}
 
+	// Guards against a rate that is divided by the number of instances: of 20 requests a
+	// second, each of 88 instances could send one in 4.4 s.
+	@Test
+	void shouldUseTheRateOfAColdTargetHoweverManyInstancesShareIt() throws Exception {
+		String[] answers = Collections.nCopies(CALLS, ScriptedTarget.response("", "x").replace("Id: \r\n", ""))
+			.toArray(String[]::new);
+		try (ScriptedTarget target = new ScriptedTarget(answers)) {
+			this.entry.grantsPermits = true;
+			this.entry.instances = 88;
+			this.entry.coldLeftMillis = 60_000;
+			this.entry.sendView("t-0", target);
+			assertThat(callAtIntervals(50)).allMatch((response) -> response.startsWith("HTTP/1.1 200"));
+		}
+	}
+
+	// Guards against a cold target that gets the requests of all instances when no leader
+	// shares its rate.
+	@Test
+	void shouldKeepToAShareOfTheRateOfAColdTargetWithoutALeader() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.response("1", "x"))) {
+			this.entry.instances = 88;
+			this.entry.coldLeftMillis = 60_000;
+			this.entry.sendView("t-0", target);
+			assertThat(callAtIntervals(20)).filteredOn((response) -> response.startsWith("HTTP/1.1 503"))
+				.hasSizeGreaterThanOrEqualTo(CALLS - 1);
+		}
+	}
+
 	private List<String> callAtIntervals(long millis) throws Exception {
 		List<CompletableFuture<String>> responses = IntStream.range(0, CALLS)
 			.mapToObj((i) -> CompletableFuture.supplyAsync(() -> lookUp(i, i * millis), this.callers))
