Separate the decision on permits; test other targets and refusals

Change: PermitDecision sends or refuses a request once its permit is decided; no change of behaviour. Tests: a service that isn't sharded sends to another target at once, and a refusal states when the next permit is due.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -250,12 +250,12 @@
 	private void requestPermit(EntryTarget candidate, TargetRate rate, long now) {
 		long maxDelay = maxPermitDelayMillis(candidate, now);
 		long nextPermit = candidate.nextPermitMillis(now);
-		PermitOutcome outcome = new PermitOutcome(candidate, rate, now);
+		PermitDecision decision = new PermitDecision(this.node, this, candidate, rate);
 		if (nextPermit > maxDelay) {
-			outcome.refusedAs("no-permit-due", nextPermit);
+			decision.notDue(nextPermit);
 		}
 		else {
-			this.permit = this.node.permits().request(candidate.name(), rate, maxDelay, outcome);
+			this.permit = this.node.permits().request(candidate.name(), rate, maxDelay, decision);
 		}
 	}
 
@@ -279,7 +279,8 @@
 	}
 
 	// Sends the request unless its key has another owner by now.
-	private void sendPermitted(EntryTarget candidate) {
+	void sendPermitted(EntryTarget candidate) {
+		this.permit = null;
 		long now = System.nanoTime();
 		boolean stillOwner = !this.sharded
 				|| this.node.view().owner(this.service, this.fields.key().orElseThrow()).equals(candidate.name());
@@ -293,7 +294,8 @@
 		}
 	}
 
-	private void permitRefused(EntryTarget candidate, Refusal reason, long delayMillis) {
+	void permitRefused(EntryTarget candidate, Refusal reason, long delayMillis) {
+		this.permit = null;
 		long now = System.nanoTime();
 		if (!this.sharded && hasUnlimitedTarget(now)) {
 			this.refusedBy.add(candidate.name());
@@ -352,10 +354,8 @@
 				this.node.dialect().callerResponse(response), 0);
 	}
 
-	// Only a response that the target itself produced withdraws a limit by not naming
-	// one.
-	// A request that was sent before the limit was observed may have been answered
-	// before.
+	// A response without a limit withdraws it only if the target itself produced the
+	// response, and not if the request was sent before the limit was observed.
 	private void limitStated(EntryTarget sender, ResponseFields responseFields, long now) {
 		OptionalDouble perSecond = responseFields.limitPerSecond();
 		boolean withdrawn = perSecond.isEmpty() && (responseFields.signed() || responseFields.notRun())
@@ -437,6 +437,10 @@
 				: OptionalLong.empty();
 	}
 
+	String requestId() {
+		return this.fields.id().orElse("");
+	}
+
 	private String digest() {
 		if (this.digest == null) {
 			this.digest = RequestDigest.of(this.exchange.request(), this.fields);
@@ -626,68 +630,6 @@
 		}
 	}
 
-	/**
-	 * Sends the request, or refuses it, once it is known whether a target with a rate
-	 * limit may get it.
-	 */
-	private final class PermitOutcome implements RatePermits.Listener {
-
-		private final EntryTarget candidate;
-
-		private final TargetRate rate;
-
-		private final long requestedNanos;
-
-		PermitOutcome(EntryTarget candidate, TargetRate rate, long now) {
-			this.candidate = candidate;
-			this.rate = rate;
-			this.requestedNanos = now;
-		}
-
-		@Override
-		public void granted() {
-			log("granted");
-			this.candidate.rateSharedByLeader(0, System.nanoTime());
-			sendPermitted(this.candidate);
-		}
-
-		@Override
-		public void refused(long retryAfterMillis) {
-			this.candidate.rateSharedByLeader(retryAfterMillis, System.nanoTime());
-			refusedAs("refused", retryAfterMillis);
-		}
-
-		void refusedAs(String outcome, long retryAfterMillis) {
-			log(outcome);
-			permitRefused(this.candidate, this.rate.reason(), retryAfterMillis);
-		}
-
-		@Override
-		public void noReply() {
-			boolean share = this.candidate.tryAcquireShare(this.rate.perSecond(),
-					RequestExecution.this.node.view().limitSharingInstances(), System.nanoTime());
-			if (share) {
-				log("share");
-				sendPermitted(this.candidate);
-			}
-			else {
-				refusedAs("no-share", DEFAULT_RETRY_AFTER_MILLIS);
-			}
-		}
-
-		private void log(String outcome) {
-			long now = System.nanoTime();
-			RequestExecution.this.permit = null;
-			RequestExecution.this.node.events().metrics().count("rate_permits", outcome);
-			RequestExecution.this.node.events()
-				.log(NodeEvent.RATE_PERMIT, "request", RequestExecution.this.fields.id().orElse(""), "permit", outcome,
-						"target", this.candidate.name(), "per-second", this.rate.perSecond(), "limit-age",
-						this.rate.statedAgeMillis(now), "millis", (now - this.requestedNanos) / MILLISECOND,
-						"control-age", RequestExecution.this.node.leaderContactAgeMillis(now));
-		}
-
-	}
-
 	/**
 	 * Receives the outcome of one attempt. It accepts only responses with the identifier
 	 * of this request or without one.
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -36,6 +36,8 @@
  */
 final class EntryFixture implements AutoCloseable {
 
+	static final long REFUSED_DELAY_MILLIS = 130;
+
 	private static final int READ_TIMEOUT_MILLIS = 3000;
 
 	/**
@@ -56,9 +58,8 @@
 
 	private final int callerPort;
 
-	// Whether the simulated leader grants each permit at once; otherwise it doesn't
-	// reply.
-	volatile boolean grantsPermits;
+	// How the simulated leader answers questions for permits; it doesn't answer if empty.
+	volatile Optional<Boolean> grantsPermits = Optional.empty();
 
 	volatile int instances = 1;
 
@@ -95,10 +96,19 @@
 		sendView(owner, List.of(target.address()));
 	}
 
+	// Sends a view with the targets of the service that isn't sharded.
+	void sendPlainView(ScriptedTarget... targets) throws Exception {
+		sendView("p", "", Stream.of(targets).map(ScriptedTarget::address).toList());
+	}
+
 	private void sendView(String owner, List<String> addresses) throws Exception {
+		sendView("s", owner, addresses);
+	}
+
+	private void sendView(String service, String owner, List<String> addresses) throws Exception {
 		this.sequence++;
 		List<ViewTarget> list = IntStream.range(0, addresses.size())
-			.mapToObj((i) -> new ViewTarget("t-" + i, "s", addresses.get(i), "d", 3, true, this.coldLeftMillis))
+			.mapToObj((i) -> new ViewTarget("t-" + i, service, addresses.get(i), "d", 3, true, this.coldLeftMillis))
 			.toList();
 		FleetView view = new FleetView(1, this.sequence, 0, 1, this.instances, Optional.of(new byte[] { 1 }), list,
 				List.of(), Map.of("s", List.of(new ViewRange(0, 65_535, owner))), List.of());
@@ -154,8 +164,9 @@
 		else if (message instanceof LinkMessage.RelayReply reply) {
 			this.relayReplies.add(reply.reply());
 		}
-		else if (message instanceof LinkMessage.PermitRequest request && this.grantsPermits) {
-			link.send(new LinkMessage.PermitReply(request.number(), true, 0));
+		else if (message instanceof LinkMessage.PermitRequest request) {
+			this.grantsPermits.ifPresent((granted) -> link
+				.send(new LinkMessage.PermitReply(request.number(), granted, granted ? 0 : REFUSED_DELAY_MILLIS)));
 		}
 		else if (message instanceof LinkMessage.Report) {
 			link.send(new LinkMessage.LeaderInfo("127.0.0.1", true, List.of("127.0.0.1")));
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -58,6 +59,36 @@
 		}
 	}
 
+	// Guards against requests that wait for a permit although another target has room.
+	@Test
+	void shouldSendToAnotherTargetIfTheServiceIsNotSharded() throws Exception {
+		String[] free = Collections.nCopies(CALLS, ScriptedTarget.response("", "x").replace("Id: \r\n", ""))
+			.toArray(String[]::new);
+		try (ScriptedTarget limited = new ScriptedTarget(Collections.nCopies(CALLS, LIMITED).toArray(String[]::new));
+				ScriptedTarget other = new ScriptedTarget(free)) {
+			this.entry.grantsPermits = Optional.of(false);
+			this.entry.sendPlainView(limited, other);
+			for (int i = 0; i < CALLS; i++) {
+				assertThat(this.entry.call("/plain/a", Integer.toString(i))).startsWith("HTTP/1.1 200");
+			}
+			assertThat(limited.requests).hasSizeLessThanOrEqualTo(1);
+		}
+	}
+
+	// Guards against a caller that is told to come back before a permit can be due, and
+	// against questions to the leader for permits that it has just refused.
+	@Test
+	void shouldRefuseAtOnceWithTheTimeOfTheNextPermit() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(LIMITED)) {
+			this.entry.grantsPermits = Optional.of(false);
+			this.entry.sendView("t-0", target);
+			assertThat(this.entry.call("/lookup/a", "1")).startsWith("HTTP/1.1 200");
+			assertThat(this.entry.call("/lookup/a", "2")).startsWith("HTTP/1.1 503")
+				.contains("Retry-Millis: " + EntryFixture.REFUSED_DELAY_MILLIS);
+			assertThat(target.requests).hasSize(1);
+		}
+	}
+
 	// Guards against a rate that is divided by the number of instances: of 20 requests a
 	// second, each of 88 instances could send one in 4.4 s.
 	@Test
@@ -65,7 +96,7 @@
 		String[] answers = Collections.nCopies(CALLS, ScriptedTarget.response("", "x").replace("Id: \r\n", ""))
 			.toArray(String[]::new);
 		try (ScriptedTarget target = new ScriptedTarget(answers)) {
-			this.entry.grantsPermits = true;
+			this.entry.grantsPermits = Optional.of(true);
 			this.entry.instances = 88;
 			this.entry.coldLeftMillis = 60_000;
 			this.entry.sendView("t-0", target);
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
@@ -28,7 +28,8 @@
 /**
  * A platform dialect for tests, with simple header names and a fixed configuration:
  * idempotent lookups below {@code /lookup/} and non-idempotent bookings below
- * {@code /book/}, both on the sharded service {@code s}.
+ * {@code /book/}, both on the sharded service {@code s}; lookups below {@code /plain/} on
+ * the service {@code p}, which isn't sharded.
  */
 final class TestDialect implements PlatformDialect {
 
@@ -99,8 +100,10 @@
 	@Override
 	public TrafficConfig config(byte[] document) {
 		return new TrafficConfig(1,
-				List.of(route("lookup", RequestKind.IDEMPOTENT), route("book", RequestKind.NON_IDEMPOTENT)),
-				List.of(new ServiceSpec("s", "/health", 10, true, 0, COLD_PER_SECOND, 0, GrantMode.CALL)),
+				List.of(route("lookup", RequestKind.IDEMPOTENT, "s"), route("book", RequestKind.NON_IDEMPOTENT, "s"),
+						route("plain", RequestKind.IDEMPOTENT, "p")),
+				List.of(new ServiceSpec("s", "/health", 10, true, 0, COLD_PER_SECOND, 0, GrantMode.CALL),
+						new ServiceSpec("p", "/health", 10, false, 0, COLD_PER_SECOND, 0, GrantMode.CALL)),
 				CallerLimits.DEFAULT);
 	}
 
@@ -109,9 +112,9 @@
 		return request.path().equals("/ready");
 	}
 
-	private static Route route(String name, RequestKind kind) {
+	private static Route route(String name, RequestKind kind, String service) {
 		return new Route(name, "h", "/" + name + "/", kind, TIMEOUT_MILLIS, 300, 0, 2,
-				List.of(new WeightedService("s", 1)));
+				List.of(new WeightedService(service, 1)));
 	}
 
 }
