Stop an entry instance after nine tenths of its grace period

Change: it stops after 5.4 s of 6. Requests in flight then have had the first five sixths of the grace period, after which the platform allows cutting them.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -73,9 +73,9 @@
 
 	/**
 	 * The fraction of the grace period after which the process stops although requests
-	 * are in flight.
+	 * are in flight. The rest is for the exit of the process on a busy machine.
 	 */
-	private static final double GRACE_FRACTION = 0.95;
+	private static final double GRACE_FRACTION = 0.9;
 
 	/** The weight of a new response in the moving average of a route's response time. */
 	private static final double ROUTE_AVERAGE_WEIGHT = 0.03;
