Separate the observations of the leader from FleetController

Change: FleetObservations holds what entry instances observed, the permits and the capacity that follows from limits; no change of behaviour.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -7,14 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
-import org.redwingramp.core.dispatch.RateReservations;
 import org.redwingramp.core.dispatch.RateReservations.Reservation;
-import org.redwingramp.core.fleet.EntryReport.TargetUse;
 import org.redwingramp.core.fleet.FleetCommand.AssignKeys;
 import org.redwingramp.core.fleet.FleetCommand.ForgetTarget;
 import org.redwingramp.core.fleet.FleetCommand.Move;
@@ -23,8 +20,6 @@
 import org.redwingramp.core.fleet.FleetView.ViewRange;
 import org.redwingramp.core.fleet.FleetView.ViewTarget;
 import org.redwingramp.core.observation.Observation;
-import org.redwingramp.core.observation.ObservationKind;
-import org.redwingramp.core.observation.ObservationTable;
 import org.redwingramp.core.observation.ObservationTable.Observed;
 import org.redwingramp.core.ownership.GrantOutcome;
 import org.redwingramp.core.ownership.KeyLoad;
@@ -79,14 +74,6 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
-	private static final double MILLIS_PER_SECOND = 1000;
-
-	/** Weight of one report in the average response time of a service. */
-	private static final double MEAN_MILLIS_WEIGHT = 0.05;
-
-	/** Capacity of a target that accepts hardly any requests; positive for divisions. */
-	private static final double MIN_EFFECTIVE_SLOTS = 0.01;
-
 	private final FleetState state;
 
 	private final FleetOutput output;
@@ -109,11 +96,7 @@
 
 	private final HeartbeatDelivery heartbeatDelivery;
 
-	private final ObservationTable observations = new ObservationTable();
-
-	private final RateReservations rateReservations = new RateReservations();
-
-	private final Map<String, Double> meanMillisByService = new HashMap<>();
+	private final FleetObservations observations;
 
 	private Map<String, GrantMode> shardedServices = Map.of();
 
@@ -134,6 +117,7 @@
 		this.state = state;
 		this.output = output;
 		this.leases = new LeaseTable(timing);
+		this.observations = new FleetObservations(this.healthByTarget, output, this::viewChanged);
 		this.callDelivery = new CallDelivery(this, this.leases, output);
 		this.heartbeatDelivery = new HeartbeatDelivery(this, this.leases, output, timing);
 		state.targets()
@@ -169,7 +153,7 @@
 			return Optional.empty();
 		}
 		if (known.filter((former) -> former.born() == target.born()).isEmpty()) {
-			withdrawLimit(target.name(), now);
+			this.observations.targetJoined(target.name(), now);
 			TargetHealth health = TargetHealth.joined(target.born(), now);
 			health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now);
 			this.healthByTarget.put(target.name(), health);
@@ -240,41 +224,18 @@
 			.filter((usage) -> usage.answers() > 0 && this.healthByTarget.containsKey(usage.target()))
 			.forEach((usage) -> this.healthByTarget.get(usage.target())
 				.recordResponses(entry, usage.expectedMillis(), usage.elapsedMillis(), now));
-		report.targets().stream().filter((usage) -> usage.answers() > 0).forEach(this::recordMeanMillis);
-		report.observations().forEach((observation) -> recordObservation(Observed.of(observation, now)));
+		report.targets()
+			.stream()
+			.filter((usage) -> usage.answers() > 0)
+			.forEach((usage) -> this.state.target(usage.target())
+				.ifPresent((target) -> this.observations.responsesReported(target.service(), usage)));
+		report.observations().forEach((observation) -> this.observations.received(observation, now));
 		report.keys()
 			.stream()
 			.filter((usage) -> usage.key() >= 0 && usage.key() < KeyRange.KEYS)
 			.forEach((usage) -> loadOf(usage.service(), now).add(usage.key(), usage.millis()));
 	}
 
-	private void recordMeanMillis(TargetUse usage) {
-		double millis = usage.expectedMillis() / usage.answers();
-		this.state.target(usage.target())
-			.ifPresent((target) -> this.meanMillisByService.merge(target.service(), millis,
-					(mean, ignored) -> mean + (millis - mean) * MEAN_MILLIS_WEIGHT));
-	}
-
-	private void recordObservation(Observed observed) {
-		boolean current = switch (observed.kind()) {
-			case TARGET_LIMIT -> Optional.ofNullable(this.healthByTarget.get(observed.subject()))
-				.filter((health) -> !health.joinedAfter(observed.observedNanos()))
-				.isPresent();
-			case CRASHED -> true;
-		};
-		if (current) {
-			publish(observed);
-		}
-	}
-
-	private void publish(Observed observed) {
-		if (this.observations.record(observed.kind(), observed.subject(), observed.value(), observed.observedNanos())) {
-			this.viewChanges++;
-			this.output.decision("observation", "kind", observed.kind(), "subject", observed.subject(), "value",
-					observed.value());
-		}
-	}
-
 	/**
 	 * Reserves a permit to send one request to a target whose request rate is limited.
 	 * @param target the name of the target
@@ -287,9 +248,8 @@
 	 */
 	public Reservation reserve(String target, double perSecond, Optional<Observation> stated, long maxDelayNanos,
 			long now) {
-		stated.ifPresent((limit) -> recordObservation(Observed.of(limit, now)));
-		double limit = this.observations.value(ObservationKind.TARGET_LIMIT, target, now).orElse(Double.MAX_VALUE);
-		return this.rateReservations.reserve(target, Math.min(limit, perSecond), maxDelayNanos, now);
+		stated.ifPresent((limit) -> this.observations.received(limit, now));
+		return this.observations.reserve(target, perSecond, maxDelayNanos, now);
 	}
 
 	/**
@@ -331,13 +291,6 @@
 		this.viewChanges++;
 	}
 
-	// A new incarnation has no limit until it states one itself.
-	private void withdrawLimit(String target, long now) {
-		if (this.observations.value(ObservationKind.TARGET_LIMIT, target, now).isPresent()) {
-			publish(new Observed(ObservationKind.TARGET_LIMIT, target, Observation.NONE, now));
-		}
-	}
-
 	private void quarantineFormerIncarnations(FleetTarget target, long now) {
 		// A reply to a heartbeat reaches only the incarnation that sent it.
 		this.leases.all()
@@ -429,7 +382,6 @@
 			this.lastBalanceNanos = now;
 			this.loadByService.values().forEach((load) -> load.decay(now));
 			this.observations.expire(now);
-			this.rateReservations.dropUnused(now);
 			this.shardedServices.keySet().forEach((service) -> {
 				balance(service, now);
 				mergeAdjacentRanges(service, now);
@@ -752,21 +704,11 @@
 		return this.state.targets()
 			.stream()
 			.filter((target) -> target.service().equals(service) && mayReceiveKeys(target, now))
-			.map((target) -> new Bin(target.owner(), effectiveSlots(target, now),
+			.map((target) -> new Bin(target.owner(), this.observations.capacity(target, now),
 					rangesOf(service, target.owner(), without), load))
 			.toList();
 	}
 
-	// Returns how many requests of average length a target of average speed would have to
-	// run at once for the same throughput.
-	private double effectiveSlots(FleetTarget target, long now) {
-		double bySpeed = target.slots() / health(target).slowness();
-		OptionalDouble limit = this.observations.value(ObservationKind.TARGET_LIMIT, target.name(), now);
-		Double meanMillis = this.meanMillisByService.get(target.service());
-		return (limit.isEmpty() || meanMillis == null) ? bySpeed : Math.min(bySpeed,
-				Math.max(MIN_EFFECTIVE_SLOTS, limit.getAsDouble() * meanMillis / MILLIS_PER_SECOND));
-	}
-
 	// Returns the ranges of an owner. A range that is being moved counts towards its
 	// receiver.
 	private Stream<KeyRange> rangesOf(String service, Owner owner, List<RangeLease> without) {
