Share the reading of request heads between test targets

Cause: CrashingTarget repeated two methods of ScriptedTarget. Change: it calls them. Measured: CrashingRequestTests and EntryNodeTests pass.

--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashingTarget.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashingTarget.java
@@ -1,7 +1,6 @@
 package org.redwingramp.node.entry;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -32,7 +31,7 @@
 	CrashingTarget() throws IOException {
 		this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 		this.port = this.server.getLocalPort();
-		start(this::accept);
+		ScriptedTarget.start(this::accept);
 	}
 
 	String address() {
@@ -49,7 +48,7 @@
 			next.setReuseAddress(true);
 			next.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), this.port));
 			this.server = next;
-			start(this::accept);
+			ScriptedTarget.start(this::accept);
 		}
 	}
 
@@ -64,7 +63,7 @@
 			while (true) {
 				Socket socket = current.accept();
 				this.connections.add(socket);
-				start(() -> serve(socket));
+				ScriptedTarget.start(() -> serve(socket));
 			}
 		}
 		catch (IOException ex) {
@@ -74,7 +73,7 @@
 
 	private void serve(Socket socket) {
 		try (socket) {
-			String head = readHead(socket.getInputStream());
+			String head = ScriptedTarget.readHead(socket.getInputStream());
 			while (!head.isEmpty()) {
 				if (head.contains("deadly")) {
 					crash(head);
@@ -84,7 +83,7 @@
 				socket.getOutputStream()
 					.write("HTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok"
 						.getBytes(StandardCharsets.US_ASCII));
-				head = readHead(socket.getInputStream());
+				head = ScriptedTarget.readHead(socket.getInputStream());
 			}
 		}
 		catch (IOException | InterruptedException ex) {
@@ -104,22 +103,4 @@
 		}
 	}
 
-	private static String readHead(InputStream input) throws IOException {
-		StringBuilder head = new StringBuilder();
-		while (!head.toString().endsWith("\r\n\r\n")) {
-			int next = input.read();
-			if (next < 0) {
-				return "";
-			}
-			head.append((char) next);
-		}
-		return head.toString();
-	}
-
-	private static void start(Runnable action) {
-		Thread thread = new Thread(action, "crashing target");
-		thread.setDaemon(true);
-		thread.start();
-	}
-
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/ScriptedTarget.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/ScriptedTarget.java
@@ -92,7 +92,7 @@
 
 	// Returns the request line and headers, or an empty string if the peer closed the
 	// connection.
-	private static String readHead(InputStream input) throws IOException {
+	static String readHead(InputStream input) throws IOException {
 		StringBuilder head = new StringBuilder();
 		while (!head.toString().endsWith("\r\n\r\n")) {
 			int next = input.read();
@@ -104,7 +104,7 @@
 		return head.toString();
 	}
 
-	private static void start(Runnable action) {
+	static void start(Runnable action) {
 		Thread thread = new Thread(action, "target");
 		thread.setDaemon(true);
 		thread.start();
