Test what entry instances report and withdraw, and breaks without a crash

Cause: removing the report to a new leader, the withdrawal of a limit or the probe of a target would not have failed a test of entry instances. Change: three tests.

--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashingRequestTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashingRequestTests.java
@@ -1,6 +1,7 @@
 package org.redwingramp.node.entry;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.AfterEach;
@@ -53,6 +54,22 @@
 		}
 	}
 
+	// Guards against a request that is refused since its connections broke, although the
+	// target goes on running.
+	@Test
+	void shouldNotSuspectARequestWhoseConnectionsBreakWithoutACrash() throws Exception {
+		String[] script = { ScriptedTarget.CLOSE, ScriptedTarget.CLOSE, ScriptedTarget.CLOSE,
+				ScriptedTarget.response("3", "x") };
+		try (ScriptedTarget target = new ScriptedTarget(script)) {
+			this.entry.sendView("t-0", target);
+			for (int i = 0; i < 3; i++) {
+				assertThat(call("/book/a", Integer.toString(i))).startsWith("HTTP/1.1 502");
+			}
+			assertThat(this.entry.log.toString(StandardCharsets.UTF_8)).doesNotContain("target-crashed");
+			assertThat(call("/book/a", "3")).startsWith("HTTP/1.1 200");
+		}
+	}
+
 	// Waits until the target is no longer avoided after its crash.
 	private void awaitServed(String path) throws InterruptedException {
 		for (int i = 0; i < 50 && !call(path, "probe-" + i).startsWith("HTTP/1.1 200"); i++) {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -21,6 +21,7 @@
 import org.redwingramp.core.fleet.FleetView;
 import org.redwingramp.core.fleet.FleetView.ViewRange;
 import org.redwingramp.core.fleet.FleetView.ViewTarget;
+import org.redwingramp.core.observation.Observation;
 import org.redwingramp.core.ownership.GrantOutcome;
 import org.redwingramp.node.api.GrantCall;
 import org.redwingramp.node.api.GrantReply;
@@ -56,6 +57,9 @@
 
 	private final BlockingQueue<GrantReply> relayReplies = new LinkedBlockingQueue<>();
 
+	// What the entry instance reported to its leader.
+	final BlockingQueue<Observation> observations = new LinkedBlockingQueue<>();
+
 	private final int callerPort;
 
 	// How the simulated leader answers questions for permits; it doesn't answer if empty.
@@ -168,7 +172,8 @@
 			this.grantsPermits.ifPresent((granted) -> link
 				.send(new LinkMessage.PermitReply(request.number(), granted, granted ? 0 : REFUSED_DELAY_MILLIS)));
 		}
-		else if (message instanceof LinkMessage.Report) {
+		else if (message instanceof LinkMessage.Report report) {
+			this.observations.addAll(report.report().observations());
 			link.send(new LinkMessage.LeaderInfo("127.0.0.1", true, List.of("127.0.0.1")));
 		}
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
@@ -1,12 +1,14 @@
 package org.redwingramp.node.entry;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -14,6 +16,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
+import org.redwingramp.core.observation.Observation;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -89,6 +93,40 @@
 		}
 	}
 
+	// Guards against a leader that learns nothing of a limit: neither the one that is
+	// told
+	// at once, nor the next one, which begins with a full view.
+	@Test
+	void shouldReportTheLimitAtOnceAndAgainToTheNextLeader() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(LIMITED)) {
+			this.entry.sendView("t-0", target);
+			assertThat(this.entry.call("/lookup/a", "1")).startsWith("HTTP/1.1 200");
+			Observation first = this.entry.observations.poll(200, TimeUnit.MILLISECONDS);
+			assertThat(first).extracting(Observation::subject, Observation::value)
+				.containsExactly("t-0", LIMIT_PER_SECOND);
+			this.entry.sendView("t-0", target);
+			Observation again = this.entry.observations.poll(1000, TimeUnit.MILLISECONDS);
+			assertThat(again).extracting(Observation::subject, Observation::value)
+				.containsExactly("t-0", LIMIT_PER_SECOND);
+		}
+	}
+
+	// Guards against a target that is held to a limit that it no longer states.
+	@Test
+	void shouldSendFreelyOnceTheTargetStatesNoLimit() throws Exception {
+		String free = ScriptedTarget.response("", "x").replace("Id: \r\n", "");
+		List<String> script = new ArrayList<>(Collections.nCopies(CALLS, free));
+		script.add(0, LIMITED);
+		try (ScriptedTarget target = new ScriptedTarget(script.toArray(String[]::new))) {
+			this.entry.grantsPermits = Optional.of(true);
+			this.entry.sendView("t-0", target);
+			assertThat(this.entry.call("/lookup/a", "1")).startsWith("HTTP/1.1 200");
+			assertThat(this.entry.call("/lookup/a", "2")).startsWith("HTTP/1.1 200");
+			this.entry.grantsPermits = Optional.of(false);
+			assertThat(this.entry.call("/lookup/a", "3")).startsWith("HTTP/1.1 200");
+		}
+	}
+
 	// Guards against a rate that is divided by the number of instances: of 20 requests a
 	// second, each of 88 instances could send one in 4.4 s.
 	@Test
