Don't count late copies of an observed crash again

Cause: found on reading the diff. An observation has an age instead of a time, so a copy that waits in the socket of a suspended entry instance looks newer than it is. Change: the instance that observes a crash counts it; merging two counts takes the higher one, so copies change nothing in whichever order they come. An instance that hasn't heard of the first crash yet may count one less, which the third crash makes up for. Measured: CrashSuspectsTests.shouldNotCountADelayedCopyAsAnotherCrash failed before and passes; the others pass, among them at most three crashes with 1, 8 and 88 instances and across leader changes.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/observation/ObservationKind.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/observation/ObservationKind.java
@@ -26,29 +26,23 @@
 
 	/**
 	 * How many targets crashed while they ran a request. The subject is the digest of the
-	 * request; {@link Observation#NONE} states that a target answered it. Several entry
-	 * instances may observe one crash, so crashes that are close together count once.
+	 * request; {@link Observation#NONE} states that a target answered it. The entry
+	 * instance that observes a crash counts it, so the higher of two counts holds and
+	 * copies that arrive late or again change nothing.
 	 */
 	CRASHED(1_800_000, 512, Comparator.comparingDouble(Observed::value).thenComparingLong(Observed::observedNanos)) {
 
 		@Override
 		Observed merge(Observed known, Observed next) {
-			long elapsed = next.observedNanos() - known.observedNanos();
+			Observed later = (next.observedNanos() - known.observedNanos() >= 0) ? next : known;
 			if (known.value() == Observation.NONE || next.value() == Observation.NONE) {
-				return (elapsed >= 0) ? next : known;
+				return later;
 			}
-			double another = (elapsed > SAME_CRASH_NANOS) ? known.value() + 1 : 0;
-			return new Observed(this, known.subject(), Math.max(another, Math.max(known.value(), next.value())),
-					(elapsed >= 0) ? next.observedNanos() : known.observedNanos());
+			return new Observed(this, known.subject(), Math.max(known.value(), next.value()), later.observedNanos());
 		}
 
 	};
 
-	/**
-	 * Observations of one crash by several entry instances are at most this far apart.
-	 */
-	static final long SAME_CRASH_NANOS = 1_500_000_000L;
-
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	/** Repetitions of an observation are published this often in its validity. */
--- a/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/CrashSuspectsTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/CrashSuspectsTests.java
@@ -115,6 +115,25 @@
 		assertThat(this.entries).noneMatch((entry) -> entry.quarantined("copy"));
 	}
 
+	// Guards against evidence that counts again when it arrives late: an instance that
+	// was
+	// suspended reads a view which had waited in its socket, and takes it as newer.
+	@Test
+	void shouldNotCountADelayedCopyAsAnotherCrash() {
+		restart(2);
+		this.entries.get(0).suspects.crashed("copy", this.now);
+		advance(500);
+		List<Observation> delayed = this.leader.published()
+			.stream()
+			.map((observed) -> observed.toSend(this.now))
+			.toList();
+		advance(5000);
+		this.entries.get(1).observations.received(delayed, this.now);
+		this.entries.get(1).observations.leaderChanged();
+		advance(500);
+		assertThat(this.entries).noneMatch((entry) -> entry.quarantined("copy"));
+	}
+
 	// Guards against crashes of two targets by one request of which only one is counted,
 	// since the router sends the request to the second at once.
 	@Test
