Refuse requests that a planned stop would cut off

What callers saw: during a planned stop a deposit was taken 5.2 s after the signal, ran at its target, and its connection closed without an answer 0.2 s later (LOST). Cause: an entry instance that is being stopped takes requests until it stops, whatever their deadlines. Callers still come when more than half of a failure domain's instances are out of rotation. Change: from the end of its minimal drain time on, an instance refuses a request whose deadline is after its latest stop, as not run, with a retry delay of 20 ms, since another instance can serve it.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -119,6 +119,13 @@
 
 	private boolean stopping;
 
+	// When a process that is stopping takes no more requests that it can't finish, and
+	// when
+	// it stops at the latest.
+	private long lastDrainNanos;
+
+	private long latestStopNanos;
+
 	// Estimated size of the views that were applied since the last report.
 	private long unacknowledgedBytes;
 
@@ -176,7 +183,9 @@
 				this.callerServer.connections());
 		this.callerServer.drain();
 		long now = System.nanoTime();
-		awaitDrained(now + MIN_DRAIN_NANOS, now + (long) (this.settings.graceNanos() * GRACE_FRACTION));
+		this.lastDrainNanos = now + MIN_DRAIN_NANOS;
+		this.latestStopNanos = now + (long) (this.settings.graceNanos() * GRACE_FRACTION);
+		awaitDrained();
 	}
 
 	private void warmUp() {
@@ -202,17 +211,23 @@
 		metrics.gauge("requests_waiting_for_owner", () -> this.waitingForOwner.size());
 	}
 
-	private void awaitDrained(long earliestStop, long latestStop) {
+	private void awaitDrained() {
 		long now = System.nanoTime();
 		boolean idle = this.callerServer.inFlight() == 0;
-		if ((now - earliestStop >= 0 && idle) || now - latestStop >= 0) {
+		if ((now - this.lastDrainNanos >= 0 && idle) || now - this.latestStopNanos >= 0) {
 			this.loop.stop();
 		}
 		else {
-			this.loop.schedule(DRAIN_CHECK_INTERVAL_NANOS, () -> awaitDrained(earliestStop, latestStop));
+			this.loop.schedule(DRAIN_CHECK_INTERVAL_NANOS, this::awaitDrained);
 		}
 	}
 
+	// Returns whether a request that has just arrived might be cut off by the planned
+	// stop.
+	boolean stopsBefore(long deadlineNanos, long now) {
+		return this.stopping && now - this.lastDrainNanos >= 0 && deadlineNanos - this.latestStopNanos > 0;
+	}
+
 	private void closeStaleConnections() {
 		this.view.allTargets().forEach((target) -> target.connections().closeExpired());
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/Refusal.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/Refusal.java
@@ -16,6 +16,9 @@
 	/** No route matches the host and path of the request. */
 	NO_ROUTE(404),
 
+	/** The process stops before the deadline of the request. */
+	STOPPING(503),
+
 	/** The service has no usable target. */
 	NO_TARGET(503),
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -41,6 +41,9 @@
 	 */
 	private static final long DEFAULT_RETRY_AFTER_MILLIS = 250;
 
+	/** The retry delay sent to callers that another entry instance can serve at once. */
+	private static final long RETRY_ELSEWHERE_MILLIS = 20;
+
 	/**
 	 * How long a target is avoided after it responded with status 421, which means that
 	 * the request was addressed to another instance.
@@ -142,6 +145,10 @@
 		long allowed = Math.min(this.fields.deadlineMillis().orElse(this.route.timeoutMillis()),
 				this.route.timeoutMillis());
 		this.deadlineNanos = this.exchange.receivedNanos() + allowed * MILLISECOND;
+		if (this.node.stopsBefore(this.deadlineNanos, System.nanoTime())) {
+			refuse(Refusal.STOPPING, RETRY_ELSEWHERE_MILLIS);
+			return;
+		}
 		this.deadlineTimer = this.node.loop().schedule(this.deadlineNanos - System.nanoTime(), this::deadlineExpired);
 		this.exchange.onAbandoned(this::callerDisconnected);
 		this.node.retryBudget(this.service).firstAttemptSent();
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -71,7 +71,13 @@
 
 	private long sequence;
 
+	private final EntryNode node;
+
 	EntryFixture() throws Exception {
+		this(1_000_000_000L);
+	}
+
+	EntryFixture(long graceNanos) throws Exception {
 		this.loop = new EventLoop((failure) -> failure.printStackTrace());
 		this.events = new EventWriter(this.log, "test");
 		this.callerPort = freePort();
@@ -79,8 +85,8 @@
 		this.loop.listen(local(peerPort), (tcp) -> Link.accepted(tcp, this::received, (link) -> {
 		}));
 		EntrySettings settings = new EntrySettings("test", "d", local(this.callerPort), local(freePort()), peerPort,
-				List.of("127.0.0.1"), 0.2, 50, 1_000_000_000L);
-		EntryNode.start(this.loop, settings, new TestDialect(), this.events);
+				List.of("127.0.0.1"), 0.2, 50, graceNanos);
+		this.node = EntryNode.start(this.loop, settings, new TestDialect(), this.events);
 		Thread thread = new Thread(this::runLoop, "loop");
 		thread.setDaemon(true);
 		thread.start();
@@ -136,6 +142,11 @@
 		return this.relayReplies.poll(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).outcome();
 	}
 
+	// Begins a planned stop.
+	void stop() {
+		this.loop.post(this.node::stop);
+	}
+
 	// Sends a request and returns the response with its headers.
 	String call(String path, String id) throws IOException {
 		try (Socket socket = open(path, id)) {
