--- a/review/lib/Deployment.java
+++ b/review/lib/Deployment.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -134,10 +133,6 @@
 		return Arrays.asList(matcher.group(1).split(" "));
 	}
 
-	void signal(String ip, String name) throws IOException, InterruptedException {
-		new ProcessBuilder("kill", "-" + name, Long.toString(this.processes.get(ip).pid())).start().waitFor();
-	}
-
 	boolean alive(String ip) {
 		return this.processes.get(ip).isAlive();
 	}
@@ -146,17 +141,6 @@
 		return this.processes.get(ip).waitFor(millis, TimeUnit.MILLISECONDS);
 	}
 
-	/** Returns the IP of the leader as the daemons name it in redirects, if there is one. */
-	Optional<String> leader() {
-		for (String address : controlAddresses()) {
-			Optional<Http.Message> answer = Control.once(address, "GET", "/config/read", new byte[0]);
-			if (answer.isPresent() && answer.get().status() == 200) {
-				return Optional.of(address.split(":")[0]);
-			}
-		}
-		return Optional.empty();
-	}
-
 	/** Waits until all entry instances are ready. */
 	void awaitReady(double seconds) throws InterruptedException, IOException {
 		long end = System.nanoTime() + (long) (seconds * 1e9);
--- a/review/lib/Server.java
+++ b/review/lib/Server.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -37,8 +36,6 @@
 
 	final AtomicLong seq = new AtomicLong();
 
-	final AtomicInteger begun = new AtomicInteger();
-
 	final long[] fence = new long[KEYS];
 
 	// The time in nanoseconds until which each key is held; long ago at first.
@@ -161,7 +158,6 @@
 				this.running[key]++;
 			}
 		}
-		this.begun.incrementAndGet();
 		byte[] body;
 		try {
 			body = work(request);
