--- a/review/3/OtherWriter.java
+++ b/review/3/OtherWriter.java
@@ -32,7 +32,7 @@
 	private volatile boolean ended;
 
 	public static void main(String[] arguments) {
-		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+		boolean trouble = !"0".equals(arguments[1]);
 		int exit;
 		try (Record record = new Record(Path.of(arguments[0]))) {
 			exit = new OtherWriter().run(record, trouble);
