Match proposals to log entries by index and term

Cause: ReplicaHost gave up its waiting callers at the loss of the leadership, but not those whose result still waited behind a stalled disk write; these were entered under their log index later, and the next leader's command at the same index answered them. An index identifies an entry only together with its term.

Change: PendingProposals (core) keeps proposals until their outcome is known and matches entries by index and term; what is abandoned stays so. ProposalResult names the term. The daemon's StateMachine and the simulated replica of the soak, which matched by index too, use the same class. Callers hear at once that the outcome is unknown. New event proposals-abandoned.

--- a/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/ReplicaProcess.java
+++ b/redwingramp-bench/src/main/java/org/redwingramp/bench/soak/ReplicaProcess.java
@@ -2,16 +2,14 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
-import java.util.TreeMap;
 import java.util.function.Supplier;
 
 import org.redwingramp.core.consensus.ConsensusTiming;
 import org.redwingramp.core.consensus.LogEntry;
 import org.redwingramp.core.consensus.Outbound;
+import org.redwingramp.core.consensus.PendingProposals;
 import org.redwingramp.core.consensus.PersistBatch;
 import org.redwingramp.core.consensus.ProposalResult;
 import org.redwingramp.core.consensus.Replica;
@@ -38,9 +36,7 @@
 
 	private final Deque<ReplicaEffects> pendingEffects = new ArrayDeque<>();
 
-	private final Map<Long, ProposalCallback> pendingProposals = new HashMap<>();
-
-	private final TreeMap<Long, ProposalCallback> appendedProposals = new TreeMap<>();
+	private final PendingProposals<ProposalCallback> proposals = new PendingProposals<>();
 
 	private SimulatedDisk disk;
 
@@ -52,8 +48,6 @@
 
 	private long compactedIndex;
 
-	private long lastProposalId;
-
 	private boolean syncing;
 
 	ReplicaProcess(String name, SimulatedCluster cluster, Supplier<StateMachine> stateMachineFactory) {
@@ -98,9 +92,7 @@
 	}
 
 	void propose(long clockMillis, byte[] command, ProposalCallback callback) {
-		long id = ++this.lastProposalId;
-		this.pendingProposals.put(id, callback);
-		handle(new ReplicaEvent.Propose(id, clockMillis, command));
+		handle(new ReplicaEvent.Propose(this.proposals.add(callback), clockMillis, command));
 	}
 
 	void handle(ReplicaEvent event) {
@@ -125,8 +117,8 @@
 			this.cluster.trace().fault("unsynced writes lost");
 		}
 		this.pendingEffects.clear();
-		this.pendingProposals.clear();
-		this.appendedProposals.clear();
+		// The proposals of a stopped process remain unanswered.
+		this.proposals.abandonAll();
 	}
 
 	@Override
@@ -209,25 +201,17 @@
 		}
 		this.appliedIndex = entry.index();
 		this.cluster.replicaChecks().applied(this);
-		ProposalCallback callback = this.appendedProposals.remove(entry.index());
-		if (callback != null) {
+		this.proposals.committed(entry).ifPresent((callback) -> {
 			this.cluster.replicaChecks().acknowledged(entry);
 			callback.done(ProposalCallback.Status.APPLIED, result);
-		}
+		});
 	}
 
 	private void handleResult(ProposalResult result) {
-		ProposalCallback callback = this.pendingProposals.remove(result.proposalId());
-		switch (result.status()) {
-			case APPENDED -> this.appendedProposals.put(result.index(), callback);
-			case LOST_LEADERSHIP -> {
-				ProposalCallback open = this.appendedProposals.remove(result.index());
-				if (open != null) {
-					open.done(ProposalCallback.Status.UNKNOWN, null);
-				}
-			}
-			default -> callback.done(ProposalCallback.Status.REFUSED, null);
-		}
+		boolean unknown = result.status() == ProposalResult.Status.LOST_LEADERSHIP;
+		this.proposals.resolved(result)
+			.ifPresent((callback) -> callback
+				.done(unknown ? ProposalCallback.Status.UNKNOWN : ProposalCallback.Status.REFUSED, null));
 	}
 
 	private void compact() {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/ProposalResult.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/ProposalResult.java
@@ -6,13 +6,18 @@
  * @param proposalId the identifier from the proposal
  * @param status the outcome
  * @param index the entry's index, 0 if it was rejected
+ * @param term the entry's term, 0 if it was rejected; only index and term together
+ * identify an entry
  */
-public record ProposalResult(long proposalId, Status status, long index) {
+public record ProposalResult(long proposalId, Status status, long index, long term) {
 
 	/** The outcomes of a proposal. */
 	public enum Status {
 
-		/** The entry was appended at the index; it is committed once that index is. */
+		/**
+		 * The entry was appended at the index; it is committed once an entry with that
+		 * index and term is.
+		 */
 		APPENDED,
 
 		/** This replica isn't the leader; nothing was appended. */
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Proposals.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Proposals.java
@@ -24,41 +24,45 @@
 
 	private final Context context;
 
-	private final TreeMap<Long, Long> proposalIdsByIndex = new TreeMap<>();
+	private final TreeMap<Long, ProposalResult> appendedByIndex = new TreeMap<>();
 
 	Proposals(Context context) {
 		this.context = context;
 	}
 
 	void rejectNotLeader(Propose proposal) {
-		result(proposal.proposalId(), Status.NOT_LEADER, 0);
+		reject(proposal, Status.NOT_LEADER);
 	}
 
 	// Returns whether the command was appended.
 	boolean append(Propose proposal) {
 		long size = proposal.command().length;
 		if (size > MAX_COMMAND_BYTES || this.context.log().uncommittedBytes() + size > MAX_UNCOMMITTED_BYTES) {
-			result(proposal.proposalId(), Status.OVERLOADED, 0);
+			reject(proposal, Status.OVERLOADED);
 			return false;
 		}
 		this.context.append(LogEntry.Kind.COMMAND, proposal.clockMillis(), proposal.command());
-		long index = this.context.log().lastIndex();
-		this.proposalIdsByIndex.put(index, proposal.proposalId());
-		result(proposal.proposalId(), Status.APPENDED, index);
+		ProposalResult appended = new ProposalResult(proposal.proposalId(), Status.APPENDED,
+				this.context.log().lastIndex(), this.context.log().lastTerm());
+		this.appendedByIndex.put(appended.index(), appended);
+		this.context.effects().result(appended);
 		return true;
 	}
 
 	void discardCommitted() {
-		this.proposalIdsByIndex.headMap(this.context.log().commitIndex(), true).clear();
+		this.appendedByIndex.headMap(this.context.log().commitIndex(), true).clear();
 	}
 
 	void failUncommitted() {
-		this.proposalIdsByIndex.forEach((index, proposalId) -> result(proposalId, Status.LOST_LEADERSHIP, index));
-		this.proposalIdsByIndex.clear();
+		this.appendedByIndex.values()
+			.forEach((appended) -> this.context.effects()
+				.result(new ProposalResult(appended.proposalId(), Status.LOST_LEADERSHIP, appended.index(),
+						appended.term())));
+		this.appendedByIndex.clear();
 	}
 
-	private void result(long proposalId, Status status, long index) {
-		this.context.effects().result(new ProposalResult(proposalId, status, index));
+	private void reject(Propose proposal, Status status) {
+		this.context.effects().result(new ProposalResult(proposal.proposalId(), status, 0, 0));
 	}
 
 }
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/StateMachine.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/StateMachine.java
@@ -1,11 +1,10 @@
 package org.redwingramp.daemon.internal.control;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import org.redwingramp.core.consensus.LogEntry;
+import org.redwingramp.core.consensus.PendingProposals;
 import org.redwingramp.core.consensus.ProposalResult;
 import org.redwingramp.core.consensus.Snapshot;
 import org.redwingramp.core.control.Command;
@@ -32,16 +31,12 @@
 
 	private final RecordCodec<ControlSnapshot> snapshotCodec;
 
-	private final Map<Long, CompletableFuture<ControlReply>> submittedById = new HashMap<>();
-
-	private final Map<Long, CompletableFuture<ControlReply>> appendedByIndex = new HashMap<>();
+	private final PendingProposals<CompletableFuture<ControlReply>> proposals = new PendingProposals<>();
 
 	private ControlState state = ControlStates.create("");
 
 	private long appliedIndex;
 
-	private long nextProposalId = 1;
-
 	StateMachine(RecordCodec<Command> commandCodec, RecordCodec<ControlSnapshot> snapshotCodec) {
 		this.commandCodec = commandCodec;
 		this.snapshotCodec = snapshotCodec;
@@ -56,22 +51,19 @@
 	}
 
 	long registerProposal(CompletableFuture<ControlReply> reply) {
-		long id = this.nextProposalId++;
-		this.submittedById.put(id, reply);
-		return id;
+		return this.proposals.add(reply);
 	}
 
 	void handleProposalResult(ProposalResult result) {
-		CompletableFuture<ControlReply> reply = this.submittedById.remove(result.proposalId());
-		if (reply == null) {
-			return;
-		}
-		switch (result.status()) {
-			case APPENDED -> this.appendedByIndex.put(result.index(), reply);
-			case NOT_LEADER -> reply.complete(new ControlReply.NotLeader(""));
-			case OVERLOADED -> reply.complete(new ControlReply.Overloaded());
-			case LOST_LEADERSHIP -> reply.complete(new ControlReply.Undecided());
-		}
+		this.proposals.resolved(result).ifPresent((reply) -> reply.complete(reply(result.status())));
+	}
+
+	private static ControlReply reply(ProposalResult.Status status) {
+		return switch (status) {
+			case NOT_LEADER -> new ControlReply.NotLeader("");
+			case OVERLOADED -> new ControlReply.Overloaded();
+			case APPENDED, LOST_LEADERSHIP -> new ControlReply.Undecided();
+		};
 	}
 
 	/**
@@ -79,10 +71,7 @@
 	 * commit them.
 	 */
 	void abandonPendingProposals() {
-		this.appendedByIndex.values().forEach((reply) -> reply.complete(new ControlReply.Undecided()));
-		this.appendedByIndex.clear();
-		this.submittedById.values().forEach((reply) -> reply.complete(new ControlReply.Undecided()));
-		this.submittedById.clear();
+		this.proposals.abandonAll().forEach((reply) -> reply.complete(new ControlReply.Undecided()));
 	}
 
 	Optional<CommandResult> apply(LogEntry entry) throws InvariantViolatedException, CodecException {
@@ -92,10 +81,7 @@
 		}
 		Command command = this.commandCodec.decode(entry.payload());
 		CommandResult result = this.state.apply(entry.index(), entry.clockMillis(), command);
-		CompletableFuture<ControlReply> reply = this.appendedByIndex.remove(entry.index());
-		if (reply != null) {
-			reply.complete(new ControlReply.Committed(result));
-		}
+		this.proposals.committed(entry).ifPresent((reply) -> reply.complete(new ControlReply.Committed(result)));
 		return Optional.of(result);
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -127,13 +129,13 @@
 
 	private long suspendedUntilNanos = System.nanoTime();
 
-	private ControlNode(EventLoop loop, ControlSettings settings, PlatformDialect dialect, EventWriter events)
-			throws StorageException {
+	private ControlNode(EventLoop loop, ControlSettings settings, PlatformDialect dialect, EventWriter events,
+			ExecutorService diskExecutor) throws StorageException {
 		this.loop = loop;
 		this.settings = settings;
 		this.dialect = dialect;
 		this.events = events;
-		this.replica = new ReplicaHost(loop, settings, events);
+		this.replica = new ReplicaHost(loop, settings, events, diskExecutor);
 		this.calls = new TargetCalls(loop, dialect, this::mayAct);
 		this.entries = new EntrySessions(loop, events);
 	}
@@ -150,7 +152,17 @@
 	 */
 	public static ControlNode start(EventLoop loop, ControlSettings settings, PlatformDialect dialect,
 			EventWriter events) throws IOException, StorageException {
-		ControlNode node = new ControlNode(loop, settings, dialect, events);
+		return start(loop, settings, dialect, events, Executors.newSingleThreadExecutor((task) -> {
+			Thread thread = new Thread(task, "disk");
+			thread.setDaemon(true);
+			return thread;
+		}));
+	}
+
+	// Starts a control replica whose disk writes are run by the executor.
+	static ControlNode start(EventLoop loop, ControlSettings settings, PlatformDialect dialect, EventWriter events,
+			ExecutorService diskExecutor) throws IOException, StorageException {
+		ControlNode node = new ControlNode(loop, settings, dialect, events, diskExecutor);
 		loop.listen(new InetSocketAddress(settings.listen().getAddress(), settings.peerPort()),
 				(tcp) -> Link.accepted(tcp, node::received, node::linkClosed));
 		ServerSocketChannel calls = loop.bind(settings.listen());
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -5,20 +5,17 @@
 import java.security.SecureRandom;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.redwingramp.core.consensus.ConsensusTiming;
 import org.redwingramp.core.consensus.LogEntry;
 import org.redwingramp.core.consensus.Outbound;
+import org.redwingramp.core.consensus.PendingProposals;
 import org.redwingramp.core.consensus.PersistBatch;
-import org.redwingramp.core.consensus.ProposalResult;
 import org.redwingramp.core.consensus.Replica;
 import org.redwingramp.core.consensus.ReplicaEffects;
 import org.redwingramp.core.consensus.ReplicaEvent;
@@ -87,11 +84,7 @@
 
 	private final long startedNanos;
 
-	private final ExecutorService diskExecutor = Executors.newSingleThreadExecutor((task) -> {
-		Thread thread = new Thread(task, "disk");
-		thread.setDaemon(true);
-		return thread;
-	});
+	private final ExecutorService diskExecutor;
 
 	private final RecordCodec<FleetCommand> commandCodec = RecordCodec.of(FleetCommand.class);
 
@@ -101,11 +94,7 @@
 	// runs, it persists the entries that the first of them depends on.
 	private final Deque<ReplicaEffects> pendingEffects = new ArrayDeque<>();
 
-	// Result handlers of proposals that aren't in the log yet, by proposal number.
-	private final Map<Long, Consumer<Optional<FleetResult>>> pendingProposals = new HashMap<>();
-
-	// Result handlers of proposals that aren't committed yet, by log index.
-	private final Map<Long, Consumer<Optional<FleetResult>>> appendedProposals = new HashMap<>();
+	private final PendingProposals<Consumer<Optional<FleetResult>>> proposals = new PendingProposals<>();
 
 	private BiConsumer<FleetCommand, FleetResult> appliedListener = (command, result) -> {
 	};
@@ -118,8 +107,6 @@
 
 	private long snapshotIndex;
 
-	private long nextProposal = 1;
-
 	private Optional<String> reportedLeader = Optional.empty();
 
 	private long reportedLeaderNanos;
@@ -130,9 +117,12 @@
 
 	private boolean storageFailed;
 
-	ReplicaHost(EventLoop loop, ControlSettings settings, EventWriter events) throws StorageException {
+	// The executor runs the disk writes one after the other.
+	ReplicaHost(EventLoop loop, ControlSettings settings, EventWriter events, ExecutorService diskExecutor)
+			throws StorageException {
 		this.loop = loop;
 		this.events = events;
+		this.diskExecutor = diskExecutor;
 		this.startedNanos = settings.startedNanos();
 		this.store = openStore(settings, events);
 		List<String> founders = isFounder(settings) ? settings.seeds() : List.of();
@@ -216,10 +206,13 @@
 	// Proposes a command. The result is empty if it is unknown whether the command will
 	// be committed.
 	void propose(FleetCommand command, Consumer<Optional<FleetResult>> result) {
+		if (this.storageFailed) {
+			result.accept(Optional.empty());
+			return;
+		}
 		try {
-			long number = this.nextProposal++;
-			this.pendingProposals.put(number, result);
-			handle(new ReplicaEvent.Propose(number, System.currentTimeMillis(), this.commandCodec.encode(command)));
+			byte[] encoded = this.commandCodec.encode(command);
+			handle(new ReplicaEvent.Propose(this.proposals.add(result), System.currentTimeMillis(), encoded));
 		}
 		catch (CodecException ex) {
 			this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", "encode command", "reason", ex.getMessage());
@@ -336,7 +329,9 @@
 	private void execute(ReplicaEffects effects) {
 		effects.messages().forEach(this::send);
 		effects.snapshotToInstall().ifPresent(this::installSnapshot);
-		effects.results().forEach(this::proposalResolved);
+		effects.results()
+			.forEach((result) -> this.proposals.resolved(result)
+				.ifPresent((handler) -> handler.accept(Optional.empty())));
 		effects.committed().forEach(this::apply);
 		compactIfDue();
 	}
@@ -345,24 +340,16 @@
 		this.peers.send(outbound.receiver().name(), new LinkMessage.Consensus(this.replica.id(), outbound.message()));
 	}
 
-	private void proposalResolved(ProposalResult result) {
-		Consumer<Optional<FleetResult>> handler = this.pendingProposals.remove(result.proposalId());
-		if (handler == null) {
-			return;
-		}
-		if (result.status() == ProposalResult.Status.APPENDED) {
-			this.appendedProposals.put(result.index(), handler);
-		}
-		else {
-			handler.accept(Optional.empty());
-		}
-	}
-
-	// Reports an unknown result for each proposal that was appended but not committed:
-	// this replica may no longer learn of its outcome.
+	// Reports an unknown result for each proposal that isn't committed, including those
+	// whose results still wait for the disk: this replica may no longer learn of their
+	// outcome.
 	private void abandonProposals() {
-		List<Consumer<Optional<FleetResult>>> abandoned = List.copyOf(this.appendedProposals.values());
-		this.appendedProposals.clear();
+		List<Consumer<Optional<FleetResult>>> abandoned = this.proposals.abandonAll();
+		if (!abandoned.isEmpty()) {
+			this.events.log(NodeEvent.PROPOSALS_ABANDONED, "proposals", abandoned.size(), "term", this.replica.term(),
+					"applied", this.appliedIndex, "writing", this.writing, "queued-effects",
+					this.pendingEffects.size());
+		}
 		abandoned.forEach((result) -> result.accept(Optional.empty()));
 	}
 
@@ -378,8 +365,7 @@
 			FleetCommand command = this.commandCodec.decode(entry.payload());
 			FleetResult result = this.state.apply(command);
 			this.appliedListener.accept(command, result);
-			Optional.ofNullable(this.appendedProposals.remove(entry.index()))
-				.ifPresent((handler) -> handler.accept(Optional.of(result)));
+			this.proposals.committed(entry).ifPresent((handler) -> handler.accept(Optional.of(result)));
 		}
 		catch (CodecException ex) {
 			throw new IllegalStateException("Committed log entry " + entry.index() + " can't be decoded", ex);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
@@ -101,6 +101,9 @@
 	/** An operator's change was acknowledged. */
 	CHANGE_CONFIRMED(7306, false),
 
+	/** This replica stopped leading before the outcome of its proposals was known. */
+	PROPOSALS_ABANDONED(7307, true),
+
 	/** The data directory is corrupted or can't be written. */
 	STORAGE_FAILED(7305, true);
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
@@ -14,7 +14,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 
@@ -32,6 +34,8 @@
 
 	private static final long RETRY_DELAY_MILLIS = 100;
 
+	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(8);
+
 	final ByteArrayOutputStream log = new ByteArrayOutputStream();
 
 	private final HttpClient client = HttpClient.newBuilder().connectTimeout(Duration.ofMillis(500)).build();
@@ -48,6 +52,8 @@
 
 	private final List<RunningReplica> running = new ArrayList<>();
 
+	private final Map<String, StallingDisk> disks = new HashMap<>();
+
 	ControlFixture(Path folder, String... seeds) throws Exception {
 		this(1, folder, seeds);
 	}
@@ -71,13 +77,32 @@
 				this.peerPort, this.seeds, mayFormGroup, this.toleratedLosses, this.folder.resolve(name),
 				System.nanoTime());
 		CompletableFuture<Void> ended = new CompletableFuture<>();
-		ControlNode node = ControlNode.start(loop, settings, new TextDialect(), events);
+		StallingDisk disk = new StallingDisk(name);
+		this.disks.put(name, disk);
+		ControlNode node = ControlNode.start(loop, settings, new TextDialect(), events, disk);
 		Thread thread = new Thread(() -> run(loop, node, ended), name);
 		thread.setDaemon(true);
 		thread.start();
 		this.running.add(new RunningReplica(name, loop, ended));
 	}
 
+	StallingDisk disk(String name) {
+		return this.disks.get(name);
+	}
+
+	// Returns the name of the replica that executes calls.
+	String leader() throws Exception {
+		for (int i = 0; i < MAX_ATTEMPTS; i++) {
+			for (RunningReplica replica : this.running) {
+				if (callOnce(replica.name(), "read").startsWith("DOCUMENT")) {
+					return replica.name();
+				}
+			}
+			Thread.sleep(RETRY_DELAY_MILLIS);
+		}
+		throw new AssertionError("no replica executed a call in " + MAX_ATTEMPTS + " rounds");
+	}
+
 	InetSocketAddress peerAddress(String name) {
 		return new InetSocketAddress(name, this.peerPort);
 	}
@@ -110,8 +135,16 @@
 	// Sends a call to the replicas in turn until one gives a response that is neither a
 	// redirect nor a refusal as unavailable.
 	String call(String text) throws Exception {
+		return call(text, "");
+	}
+
+	// Sends a call like call(text), but not to one of the replicas.
+	String call(String text, String excluded) throws Exception {
 		for (int i = 0; i < MAX_ATTEMPTS; i++) {
 			for (RunningReplica replica : this.running) {
+				if (replica.name().equals(excluded)) {
+					continue;
+				}
 				String answer = callOnce(replica.name(), text);
 				if (!answer.startsWith("UNAVAILABLE") && !answer.startsWith("LEADER_IS")) {
 					return answer;
@@ -127,7 +160,7 @@
 	String callOnce(String name, String text) throws InterruptedException {
 		try {
 			HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + name + ':' + this.port + "/call"))
-				.timeout(Duration.ofSeconds(2))
+				.timeout(CALL_TIMEOUT)
 				.POST(HttpRequest.BodyPublishers.ofString(text))
 				.build();
 			return this.client.send(request, HttpResponse.BodyHandlers.ofString()).body();
