Take no keys on the word of a heartbeat

Cause: a later start time stated for the same address counted as proof that the earlier process had ended; the target was forgotten and ranges without an owner are assigned at once. A statement was matched to a target by its address alone.

Change: HeartbeatCheck refuses heartbeats that can't come from a target of the fleet (service not configured, other service or address than the running incarnation, start far in the future). A disputed address takes no keys: the registered target keeps its leases until another one answers there or they end, and is asked meanwhile. Its own heartbeats, also that it drains, count.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/CallDelivery.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/CallDelivery.java
@@ -44,7 +44,10 @@
 	@Override
 	public void maintain(RangeLease lease, FleetTarget target, long now) {
 		TargetHealth health = this.controller.health(target);
-		boolean reachable = reachable(health, now) && !(target.stage() == Stage.LEFT && health.lost(now));
+		// Whether the target or another one answers at a disputed address decides on its
+		// keys, so it is called even if it seems unreachable.
+		boolean called = reachable(health, now) || this.controller.addressTaken(target);
+		boolean reachable = called && !(target.stage() == Stage.LEFT && health.lost(now));
 		if (!reachable || lease.callInFlight()) {
 			return;
 		}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -35,6 +35,7 @@
 import org.redwingramp.core.ownership.RangeLease;
 import org.redwingramp.core.ownership.RangeLease.Phase;
 import org.redwingramp.core.traffic.GrantMode;
+import org.redwingramp.core.traffic.ServiceSpec;
 
 /**
  * Manages targets and key ownership on the control leader. It tracks the health of
@@ -98,6 +99,8 @@
 
 	private final FleetObservations observations;
 
+	private Set<String> services = Set.of();
+
 	private Map<String, GrantMode> shardedServices = Map.of();
 
 	private long lastBalanceNanos;
@@ -129,17 +132,32 @@
 	}
 
 	/**
-	 * Sets the services that are sharded by key.
-	 * @param services how targets learn which keys they own, by the name of the service
+	 * Sets the services of the configuration in force. Until then there are none.
+	 * @param configured the services
 	 */
-	public void shardedServices(Map<String, GrantMode> services) {
-		this.shardedServices = Map.copyOf(services);
+	public void services(Collection<ServiceSpec> configured) {
+		this.services = configured.stream().map(ServiceSpec::name).collect(Collectors.toUnmodifiableSet());
+		this.shardedServices = configured.stream()
+			.filter(ServiceSpec::sharded)
+			.collect(Collectors.toUnmodifiableMap(ServiceSpec::name, ServiceSpec::grantMode));
 	}
 
 	/**
-	 * Processes a heartbeat of a target. Ignores one of a former incarnation, or of a
-	 * target whose address a later started target uses.
+	 * Returns why a heartbeat can't come from a target of this fleet. Such a heartbeat
+	 * must be neither processed nor acknowledged: it says nothing about any target.
 	 * @param heartbeat the heartbeat
+	 * @param wallMillis the wall-clock time in milliseconds
+	 * @return the reason, or empty if the heartbeat may be processed
+	 */
+	public Optional<String> objectionTo(TargetHeartbeat heartbeat, long wallMillis) {
+		return HeartbeatCheck.objection(heartbeat.target(), this.state.target(heartbeat.target().name()), this.services,
+				wallMillis);
+	}
+
+	/**
+	 * Processes a heartbeat of a target. Ignores one of a former incarnation, and one of
+	 * an unknown target whose address a later started target uses.
+	 * @param heartbeat the heartbeat, to which there is no objection
 	 * @param now the monotonic time in nanoseconds
 	 * @return the command to commit before the heartbeat is acknowledged, or empty if the
 	 * replicated state needs no change
@@ -147,12 +165,14 @@
 	public Optional<FleetCommand> heartbeat(TargetHeartbeat heartbeat, long now) {
 		FleetTarget target = heartbeat.target();
 		Optional<FleetTarget> known = this.state.target(target.name());
-		if (known.filter((former) -> former.born() > target.born()).isPresent() || addressTaken(target)) {
+		boolean current = known.filter((former) -> former.born() == target.born()).isPresent();
+		boolean outdated = known.filter((former) -> former.born() > target.born()).isPresent();
+		if (outdated || (!current && addressTaken(target))) {
 			this.output.decision("heartbeat-stale", "target", target.name(), "born", target.born(), "sequence",
 					heartbeat.sequence());
 			return Optional.empty();
 		}
-		if (known.filter((former) -> former.born() == target.born()).isEmpty()) {
+		if (!current) {
 			this.observations.targetJoined(target.name(), now);
 			TargetHealth health = TargetHealth.joined(target.born(), now);
 			health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now);
@@ -469,8 +489,8 @@
 		return startsDraining ? Optional.of(new RecordTarget(known.with(Stage.DRAINING))) : Optional.empty();
 	}
 
-	// Returns whether a target that started later uses the same address.
-	private boolean addressTaken(FleetTarget target) {
+	// Returns whether a target that started later states the same address.
+	boolean addressTaken(FleetTarget target) {
 		return this.state.targets()
 			.stream()
 			.anyMatch((other) -> other.address().equals(target.address()) && !other.name().equals(target.name())
@@ -496,14 +516,16 @@
 		Set<String> replaced = replacedTargets();
 		this.state.targets()
 			.stream()
-			.filter((target) -> replaced.contains(target.name()) || (target.stage() != Stage.LEFT
-					&& this.healthByTarget.get(target.name()).lost(now) && !owners.contains(target.owner())))
+			.filter((target) -> !owners.contains(target.owner()))
+			.filter((target) -> replaced.contains(target.name())
+					|| (target.stage() != Stage.LEFT && this.healthByTarget.get(target.name()).lost(now)))
 			.toList()
 			.forEach((target) -> proposeIfNotPending(new ForgetTarget(target.owner())));
 	}
 
-	// Returns the targets at whose address another one started later. The later start
-	// proves that the earlier process has ended.
+	// Returns the targets at whose address another one states that it started later. The
+	// earlier process has probably ended, but only an answer from the address or the end
+	// of its leases proves that it holds no keys.
 	private Set<String> replacedTargets() {
 		Map<String, FleetTarget> newest = new HashMap<>();
 		Set<String> replaced = new HashSet<>();
@@ -725,8 +747,8 @@
 
 	private boolean mayReceiveKeys(FleetTarget target, long now) {
 		TargetHealth health = health(target);
-		return mayKeepKeys(target) && !health.cold(now) && delivery(target.service()).reachable(health, now)
-				&& !health.lost(now);
+		return mayKeepKeys(target) && !addressTaken(target) && !health.cold(now)
+				&& delivery(target.service()).reachable(health, now) && !health.lost(now);
 	}
 
 	private boolean usable(FleetTarget target) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
@@ -16,6 +16,7 @@
 import org.redwingramp.core.ownership.LeaseTiming;
 import org.redwingramp.core.ownership.RangeLease;
 import org.redwingramp.core.traffic.GrantMode;
+import org.redwingramp.core.traffic.ServiceSpec;
 
 /**
  * Runs a {@link FleetController} against in-memory targets that hold the ranges they are
@@ -70,7 +71,7 @@
 	void startLeadership() {
 		this.replies.clear();
 		this.controller = new FleetController(this.state, this, LeaseTiming.DEFAULT, this.now);
-		this.controller.shardedServices(Map.of("s", GrantMode.CALL));
+		this.controller.services(List.of(new ServiceSpec("s", "/", 1, true, 0, 0, 0, GrantMode.CALL)));
 	}
 
 	// The failure domain depends on the length of the name, so that a test can place a
@@ -89,8 +90,10 @@
 	void sendHeartbeat(FleetTarget target, long coldMillis) {
 		this.coldUntilNanos.put(target.name(), this.now + coldMillis * MS);
 		long sequence = this.sequences.merge(target.name() + target.born(), 1L, Long::sum);
-		this.controller.heartbeat(new TargetHeartbeat(target, coldMillis, sequence, KeyReport.EMPTY), this.now)
-			.ifPresent(this::commit);
+		TargetHeartbeat heartbeat = new TargetHeartbeat(target, coldMillis, sequence, KeyReport.EMPTY);
+		if (this.controller.objectionTo(heartbeat, this.now / MS).isEmpty()) {
+			this.controller.heartbeat(heartbeat, this.now).ifPresent(this::commit);
+		}
 	}
 
 	void commit(FleetCommand command) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -108,6 +108,72 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against a program that isn't a target of the fleet and takes the keys of a
+	 * running target by stating its address.
+	 */
+	@Test
+	void shouldKeepTheOwnerWhoseAddressAHeartbeatOfAnUnnamedServiceStates() {
+		awaitInitialAssignment();
+		this.fleet.sendHeartbeat(new FleetTarget("foreign", 9, "unnamed", "10.0.0.1:80", "d-3", 3, Stage.SERVING), 0);
+		this.fleet.advance(8000);
+		assertThat(this.fleet.state.target("foreign")).isEmpty();
+		assertThat(this.fleet.owners()).containsExactlyInAnyOrder("t-0", "t-1", "t-2", "t-3");
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
+	/**
+	 * Guards against keys that are assigned again because a heartbeat states the address
+	 * of their owner, while the owner holds them and answers.
+	 */
+	@Test
+	void shouldKeepTheOwnerThatAnswersAtAnAddressWhichALaterTargetStates() {
+		awaitInitialAssignment();
+		this.fleet.join("t-9", 9, "10.0.0.1:80");
+		this.fleet.advance(8000);
+		assertThat(this.fleet.owners()).contains("t-1");
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
+	/** Guards against a crashed target that keeps its keys until its lease ends. */
+	@Test
+	void shouldReassignKeysOnceTheSuccessorAtTheAddressAnswers() {
+		awaitInitialAssignment();
+		this.fleet.unresponsive.add("t-1");
+		this.fleet.advance(2000);
+		this.fleet.replace("t-1");
+		this.fleet.join("t-9", 9, "10.0.0.1:80");
+		this.fleet.advance(900);
+		assertThat(this.fleet.state.target("t-1")).isEmpty();
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
+	/**
+	 * Guards against a draining target that is acknowledged but not recorded because
+	 * another heartbeat states its address.
+	 */
+	@Test
+	void shouldRecordThatATargetDrainsWhoseAddressALaterTargetStates() {
+		awaitInitialAssignment();
+		this.fleet.join("t-9", 9, "10.0.0.1:80");
+		FleetTarget draining = this.fleet.state.target("t-1").orElseThrow().with(Stage.DRAINING);
+		this.fleet.sendHeartbeat(draining, 0);
+		assertThat(this.fleet.state.target("t-1").orElseThrow().stage()).isEqualTo(Stage.DRAINING);
+	}
+
+	/**
+	 * Guards against a heartbeat that changes the service or address of a running target,
+	 * and against a start time that outdates all heartbeats to come.
+	 */
+	@Test
+	void shouldIgnoreADescriptionThatCannotComeFromTheTarget() {
+		awaitInitialAssignment();
+		FleetTarget target = this.fleet.state.target("t-1").orElseThrow();
+		this.fleet.sendHeartbeat(new FleetTarget("t-1", 1, "s", "10.0.0.7:80", "d-3", 3, Stage.DRAINING), 0);
+		this.fleet.join("t-1", Long.MAX_VALUE, "10.0.0.1:80");
+		assertThat(this.fleet.state.target("t-1")).contains(target);
+	}
+
 	@Test
 	void shouldIgnoreALateHeartbeatOfAFormerIncarnation() {
 		awaitInitialAssignment();
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatFleet.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -14,6 +13,7 @@
 import org.redwingramp.core.ownership.LeaseTiming;
 import org.redwingramp.core.ownership.RangeLease;
 import org.redwingramp.core.traffic.GrantMode;
+import org.redwingramp.core.traffic.ServiceSpec;
 
 /**
  * Runs a {@link FleetController} against {@link HeartbeatTarget}s over a network that
@@ -59,7 +59,7 @@
 	void startLeadership() {
 		this.term++;
 		this.controller = new FleetController(this.state, this, LeaseTiming.DEFAULT, this.now);
-		this.controller.shardedServices(Map.of("s", GrantMode.HEARTBEAT));
+		this.controller.services(List.of(new ServiceSpec("s", "/", 1, true, 0, 0, 0, GrantMode.HEARTBEAT)));
 	}
 
 	void advance(long millis) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -4,13 +4,11 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
 import org.redwingramp.core.dispatch.RateReservations.Reservation;
 import org.redwingramp.core.fleet.FleetCommand;
@@ -24,7 +22,6 @@
 import org.redwingramp.core.ownership.LeaseTiming;
 import org.redwingramp.core.ownership.RangeLease;
 import org.redwingramp.core.traffic.ConfigValidator;
-import org.redwingramp.core.traffic.GrantMode;
 import org.redwingramp.core.traffic.ServiceSpec;
 import org.redwingramp.core.traffic.TrafficConfig;
 import org.redwingramp.node.api.ControlAnswer;
@@ -286,12 +283,7 @@
 		}
 		try {
 			this.config = Optional.of(this.dialect.config(state.document()));
-			Map<String, GrantMode> sharded = this.config.get()
-				.services()
-				.stream()
-				.filter(ServiceSpec::sharded)
-				.collect(Collectors.toMap(ServiceSpec::name, ServiceSpec::grantMode));
-			this.controller.ifPresent((activeController) -> activeController.shardedServices(sharded));
+			this.controller.ifPresent((activeController) -> activeController.services(this.config.get().services()));
 		}
 		catch (InvalidDocumentException ex) {
 			// The document was validated before it was proposed, so this is a programming
@@ -454,6 +446,12 @@
 	private void execute(ControlRequest call, Consumer<ControlAnswer> reply) {
 		FleetController activeController = this.controller.orElseThrow();
 		if (call instanceof ControlRequest.Heartbeat heartbeat) {
+			Optional<String> objection = activeController.objectionTo(heartbeat.heartbeat(),
+					System.currentTimeMillis());
+			if (objection.isPresent()) {
+				reply.accept(ControlAnswer.of(Kind.INVALID, objection.get()));
+				return;
+			}
 			long now = System.nanoTime();
 			commit(activeController.heartbeat(heartbeat.heartbeat(), now),
 					(answer) -> grantKeys(answer, heartbeat.heartbeat(), activeController, now, reply));
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlWarmup.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlWarmup.java
@@ -1,7 +1,6 @@
 package org.redwingramp.node.control;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import org.redwingramp.core.fleet.EntryReport;
@@ -19,6 +18,7 @@
 import org.redwingramp.core.ownership.LeaseTiming;
 import org.redwingramp.core.ownership.RangeLease;
 import org.redwingramp.core.traffic.GrantMode;
+import org.redwingramp.core.traffic.ServiceSpec;
 import org.redwingramp.node.api.PlatformDialect;
 import org.redwingramp.node.events.EventWriter;
 import org.redwingramp.node.events.NodeEvent;
@@ -68,7 +68,7 @@
 	private static void exerciseController() {
 		FleetState state = new FleetState(FleetSnapshot.EMPTY);
 		FleetController controller = new FleetController(state, new ImmediateOutput(state), LeaseTiming.DEFAULT, 0);
-		controller.shardedServices(Map.of(SERVICE, GrantMode.CALL));
+		controller.services(List.of(new ServiceSpec(SERVICE, "/", 1, true, 0, 0, 0, GrantMode.CALL)));
 		for (int i = 0; i < TARGETS; i++) {
 			FleetTarget target = new FleetTarget("t-" + i, 1, SERVICE, "127.0.0.1:" + (i + 1), "d", 1,
 					FleetTarget.Stage.SERVING);
@@ -85,7 +85,7 @@
 				List.of(new EntryReport.KeyUse(SERVICE, 1, 1)), List.of(limit)), 0);
 		controller.reserve("t-0", 1, Optional.of(limit), 0, 0);
 		FleetController restarted = new FleetController(state, new ImmediateOutput(state), LeaseTiming.DEFAULT, 0);
-		restarted.shardedServices(Map.of(SERVICE, GrantMode.CALL));
+		restarted.services(List.of(new ServiceSpec(SERVICE, "/", 1, true, 0, 0, 0, GrantMode.CALL)));
 		restarted.tick(LeaseTiming.DEFAULT.renewNanos());
 		restarted.viewTargets(0);
 		restarted.viewKeys();
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
@@ -11,6 +11,8 @@
 import org.redwingramp.core.fleet.TargetHeartbeat;
 import org.redwingramp.core.ownership.KeyReport;
 import org.redwingramp.core.traffic.CallerLimits;
+import org.redwingramp.core.traffic.GrantMode;
+import org.redwingramp.core.traffic.ServiceSpec;
 import org.redwingramp.core.traffic.TrafficConfig;
 import org.redwingramp.node.api.ControlAnswer;
 import org.redwingramp.node.api.ControlRequest;
@@ -32,6 +34,8 @@
  */
 final class TextDialect implements PlatformDialect {
 
+	private static final ServiceSpec SERVICE = new ServiceSpec("s", "/", 1, false, 0, 0, 0, GrantMode.CALL);
+
 	@Override
 	public void warmUp() {
 	}
@@ -100,7 +104,7 @@
 		if (text.endsWith("broken")) {
 			throw new InvalidDocumentException("the configuration's text ends in \"broken\"");
 		}
-		return new TrafficConfig(1, List.of(), List.of(), CallerLimits.DEFAULT);
+		return new TrafficConfig(1, List.of(), List.of(SERVICE), CallerLimits.DEFAULT);
 	}
 
 	@Override
