--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -1,9 +1,11 @@
 package org.redwingramp.node.control;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -14,6 +16,7 @@
 import org.redwingramp.node.http.ClientListener;
 import org.redwingramp.node.http.HttpResponse;
 import org.redwingramp.node.http.ResponseMemoryLimit;
+import org.redwingramp.node.http.TargetAddress;
 import org.redwingramp.node.http.TargetConnections;
 import org.redwingramp.node.loop.EventLoop;
 
@@ -69,14 +72,20 @@
 	}
 
 	/**
-	 * Sends a call. Grants wait for earlier grants to the same target.
+	 * Sends a call. Grants wait for earlier grants to the same target. Nothing is sent to
+	 * an address that can't be used.
 	 * @param address the target's address, {@code ip:port}
 	 * @param call the grant or release
 	 * @param reply receives the reply once
 	 */
 	public void send(String address, GrantCall call, Consumer<GrantReply> reply) {
+		Optional<InetSocketAddress> parsed = TargetAddress.parse(address);
+		if (parsed.isEmpty()) {
+			this.loop.schedule(0, () -> reply.accept(GrantReply.NOT_SENT));
+			return;
+		}
 		TargetQueue target = this.queuesByAddress.computeIfAbsent(address,
-				(key) -> new TargetQueue(TargetConnections.to(this.loop, key, this.responseMemory)));
+				(key) -> new TargetQueue(new TargetConnections(this.loop, parsed.get(), this.responseMemory)));
 		if (call.release()) {
 			exchange(target, call, RELEASE_TIMEOUT_NANOS, reply);
 		}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -320,6 +320,9 @@
 	}
 
 	private void viewApplied(FleetView update) {
+		this.view.unusableTargets()
+			.forEach((target) -> this.events.log(NodeEvent.TARGET_UNUSABLE, "target", target, "view",
+					this.view.sequence()));
 		this.unacknowledgedBytes += update.estimatedBytes();
 		this.observations.received(update.observations(), System.nanoTime());
 		if (update.full()) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -1,5 +1,7 @@
 package org.redwingramp.node.entry;
 
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +21,7 @@
 import org.redwingramp.node.api.InvalidDocumentException;
 import org.redwingramp.node.api.PlatformDialect;
 import org.redwingramp.node.http.ResponseMemoryLimit;
+import org.redwingramp.node.http.TargetAddress;
 import org.redwingramp.node.http.TargetConnections;
 import org.redwingramp.node.link.PackedDocument;
 import org.redwingramp.node.loop.EventLoop;
@@ -52,6 +55,8 @@
 
 	private final Map<String, WeightedRoundRobin> roundRobins = new HashMap<>();
 
+	private final List<String> unusableTargets = new ArrayList<>();
+
 	private Map<String, List<EntryTarget>> usableByService = Map.of();
 
 	private final Map<String, KeyOwners> keyOwners = new HashMap<>();
@@ -96,6 +101,7 @@
 			this.keyOwners.clear();
 		}
 		removeTargets(update.removedTargets());
+		this.unusableTargets.clear();
 		update.targets().forEach((target) -> addOrUpdate(target, now));
 		if (update.full() || !update.targets().isEmpty() || !update.removedTargets().isEmpty()) {
 			groupUsableTargets();
@@ -135,6 +141,12 @@
 		return this.usableByService.getOrDefault(service, List.of());
 	}
 
+	// Returns the targets of the last update that were left out, since their addresses
+	// can't be used.
+	List<String> unusableTargets() {
+		return List.copyOf(this.unusableTargets);
+	}
+
 	Iterable<EntryTarget> allTargets() {
 		return this.targets.values();
 	}
@@ -198,12 +210,17 @@
 		EntryTarget existing = this.targets.get(view.name());
 		if (existing != null && existing.view().address().equals(view.address())) {
 			existing.update(view, now);
+			return;
 		}
-		else {
-			this.targets.put(view.name(),
-					new EntryTarget(view, TargetConnections.to(this.loop, view.address(), this.responseMemory),
-							new TargetTracker(view.slots(), INITIAL_SERVICE_MILLIS, now), now));
+		Optional<InetSocketAddress> address = TargetAddress.parse(view.address());
+		if (address.isEmpty()) {
+			this.unusableTargets.add(view.name() + " at " + view.address());
+			removeTargets(List.of(view.name()));
+			return;
 		}
+		this.targets.put(view.name(),
+				new EntryTarget(view, new TargetConnections(this.loop, address.get(), this.responseMemory),
+						new TargetTracker(view.slots(), INITIAL_SERVICE_MILLIS, now), now));
 	}
 
 	/** The result of applying an update. The constant names are written to the log. */
--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
@@ -86,6 +86,9 @@
 	/** A target answered a request that had been at a crash of another one. */
 	SUSPICION_CLEARED(7210, false),
 
+	/** A target in the view isn't used, because no connection can be opened to it. */
+	TARGET_UNUSABLE(7211, true),
+
 	/** This replica's role changed. */
 	ROLE_CHANGED(7301, false),
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
@@ -47,20 +47,6 @@
 		this.memory = memory;
 	}
 
-	/**
-	 * Creates an empty pool.
-	 * @param loop the event loop
-	 * @param address the target's address, {@code ip:port}
-	 * @param memory limits the memory for incomplete responses
-	 * @return the pool
-	 */
-	public static TargetConnections to(EventLoop loop, String address, ResponseMemoryLimit memory) {
-		int colon = address.lastIndexOf(':');
-		return new TargetConnections(loop,
-				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
-				memory);
-	}
-
 	/**
 	 * Sends a request on an idle connection or on a new one.
 	 * @param request the request
--- a/redwingramp-node/src/main/java/org/redwingramp/node/loop/EventLoop.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/loop/EventLoop.java
@@ -9,6 +9,7 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.channels.UnresolvedAddressException;
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -180,6 +181,9 @@
 		catch (IOException ex) {
 			schedule(0, () -> connection.fail(ex));
 		}
+		catch (UnresolvedAddressException ex) {
+			schedule(0, () -> connection.fail(new IOException("unknown host " + address.getHostString(), ex)));
+		}
 		return connection;
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
@@ -6,6 +6,8 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.redwingramp.core.fleet.FleetView;
 import org.redwingramp.core.fleet.FleetView.ViewRange;
@@ -72,6 +74,22 @@
 		assertThat(this.view.owner("s", 10)).isEmpty();
 	}
 
+	/**
+	 * Guards against one target with an address that can't be used, after which an entry
+	 * instance applies no view at all.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "127.0.0.1:99999", "127.0.0.1", "host:80", "300.0.0.1:80", "" })
+	void shouldApplyAViewWithoutATargetWhoseAddressIsUnusable(String address) throws Exception {
+		FleetView next = new FleetView(6, 1, 0, 7, 1, Optional.empty(),
+				List.of(target("a"), new ViewTarget("odd", "s", address, "d", 3, true, 0)), List.of(),
+				Map.of("s", List.of(new ViewRange(0, 65_535, "a"))), List.of());
+		assertThat(apply(next)).isEqualTo(Outcome.TAKEN);
+		assertThat(this.view.target("odd")).isEmpty();
+		assertThat(this.view.owner("s", 1)).isEqualTo("a");
+		assertThat(this.view.unusableTargets()).containsExactly("odd at " + address);
+	}
+
 	private Outcome apply(FleetView update) throws Exception {
 		return this.view.apply(update, 0);
 	}
