Fail responses that end within their trailers

What callers could see: a chunked response that its target broke off after the last chunk, before the end of the trailers, counted as whole. Operators of similar systems reported responses cut off in their head; those fail here.

Cause: the parser takes the end of the connection within the trailers for their end.

Change: ClientConnection fails the call in that state.

--- a/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/gate/JettyTargetClientTests.java
+++ b/redwingramp-daemon/src/test/java/org/redwingramp/daemon/internal/gate/JettyTargetClientTests.java
@@ -51,6 +51,18 @@
 		}
 	}
 
+	/** Guards against a response cut off in its head that counts as an empty one. */
+	@Test
+	void shouldRejectEachProperPrefixOfAResponse() throws Exception {
+		String response = response("Content-Length: 2\r\n", "ok");
+		for (int end = 0; end < response.length(); end++) {
+			try (RawTarget target = new RawTarget(response.substring(0, end), false)) {
+				assertThat(send(target, DEADLINE_MILLIS, () -> true)).as(response.substring(0, end))
+					.isNotInstanceOf(TargetCallResult.Complete.class);
+			}
+		}
+	}
+
 	/**
 	 * Guards against a truncated response that cannot be distinguished from a complete
 	 * one.
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
@@ -159,6 +159,11 @@
 			return;
 		}
 		this.persistent = false;
+		if (this.parser.isState(HttpParser.State.TRAILER)) {
+			// The parser takes the end of the connection for the end of the trailers.
+			fail(Cause.BROKEN_OFF);
+			return;
+		}
 		this.parser.atEOF();
 		this.parser.parseNext(ByteBuffer.allocate(0));
 		if (this.complete && !this.malformed) {
