Tie each response of a target to its call

Cause: a response was matched by its order on the connection. The absence of an identifier counted as a match, and a request sent again bears the identifier of its former send.

Change: a repeated send doesn't use connections of its former sends; a response without an identifier counts only as the first on its connection, which is closed then. Releases and first grants use a new connection; only confirmations of renewals are taken from a kept one, refusals there are verified. New event response-mismatch.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -4,17 +4,21 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
+import org.redwingramp.core.ownership.GrantOutcome;
 import org.redwingramp.node.api.GrantCall;
 import org.redwingramp.node.api.GrantReply;
 import org.redwingramp.node.api.PlatformDialect;
 import org.redwingramp.node.http.CallFailure;
 import org.redwingramp.node.http.ClientListener;
 import org.redwingramp.node.http.HttpResponse;
+import org.redwingramp.node.http.ResponseMatch;
 import org.redwingramp.node.http.ResponseMemoryLimit;
 import org.redwingramp.node.http.TargetAddress;
 import org.redwingramp.node.http.TargetConnections;
@@ -23,8 +27,14 @@
 /**
  * Sends grants and releases of key ranges to targets. Grants to one target are sent
  * sequentially, so that its renewals share a connection. A release isn't queued, since
- * its response may take as long as a running request. Not thread safe; confined to the
- * event loop's thread.
+ * its response may take as long as a running request.
+ *
+ * <p>
+ * Responses to these calls bear no identifier, and a target may send a response twice.
+ * Invariant: a response that decides who holds keys comes from a connection on which no
+ * other call was sent before. Only the confirmation of a renewal is taken from a kept
+ * connection, since a wrong one merely prolongs the lease. Not thread safe; confined to
+ * the event loop's thread.
  */
 public final class TargetCalls {
 
@@ -50,6 +60,9 @@
 	 */
 	private static final long MAX_QUEUED_MILLIS = 1000;
 
+	/** Maximum number of confirmed grants that are remembered for each target. */
+	private static final int MAX_CONFIRMED_GRANTS = 64;
+
 	private final PlatformDialect dialect;
 
 	private final BooleanSupplier mayGrant;
@@ -87,7 +100,7 @@
 		TargetQueue target = this.queuesByAddress.computeIfAbsent(address,
 				(key) -> new TargetQueue(new TargetConnections(this.loop, parsed.get(), this.responseMemory)));
 		if (call.release()) {
-			exchange(target, call, RELEASE_TIMEOUT_NANOS, reply);
+			exchangeOnNewConnection(target, call, RELEASE_TIMEOUT_NANOS, reply);
 		}
 		else {
 			target.waitingGrants.add(new QueuedGrant(call, System.currentTimeMillis(), reply));
@@ -108,32 +121,100 @@
 			return;
 		}
 		target.grantInFlight = true;
-		exchange(target, grant.call(), GRANT_TIMEOUT_NANOS, (grantReply) -> {
+		Consumer<GrantReply> returned = (grantReply) -> {
 			target.grantInFlight = false;
 			sendNextGrant(target);
 			grant.reply().accept(grantReply);
-		});
+		};
+		if (target.confirmed.contains(KeyGrant.of(grant.call()))) {
+			renew(target, grant.call(), returned);
+		}
+		else {
+			exchangeOnNewConnection(target, grant.call(), GRANT_TIMEOUT_NANOS, returned);
+		}
 	}
 
-	private void exchange(TargetQueue target, GrantCall call, long timeoutNanos, Consumer<GrantReply> reply) {
-		target.connections.send(this.dialect.grantRequest(call), timeoutNanos, false, new ClientListener() {
-
-			@Override
-			public boolean accepts(HttpResponse response) {
-				return true;
+	// A refusal on a kept connection may be a copy, so it is verified.
+	private void renew(TargetQueue target, GrantCall call, Consumer<GrantReply> reply) {
+		Listener listener = new Listener(call, true, (grantReply) -> {
+			boolean refused = grantReply.outcome() == GrantOutcome.OTHER_TARGET
+					|| grantReply.outcome() == GrantOutcome.HIGHER_FENCE_SEEN;
+			if (refused) {
+				target.confirmed.remove(KeyGrant.of(call));
+				exchangeOnNewConnection(target, call, GRANT_TIMEOUT_NANOS, reply);
+			}
+			else {
+				reply.accept(grantReply);
 			}
+		});
+		target.connections.send(this.dialect.grantRequest(call), GRANT_TIMEOUT_NANOS, listener);
+	}
 
-			@Override
-			public void answered(HttpResponse response) {
-				reply.accept(TargetCalls.this.dialect.grantReply(call, response));
+	private void exchangeOnNewConnection(TargetQueue target, GrantCall call, long timeoutNanos,
+			Consumer<GrantReply> reply) {
+		Listener listener = new Listener(call, false, (grantReply) -> {
+			if (!call.release() && grantReply.outcome() == GrantOutcome.CONFIRMED) {
+				target.rememberConfirmed(call);
 			}
+			reply.accept(grantReply);
+		});
+		target.connections.sendOnNewConnection(this.dialect.grantRequest(call), timeoutNanos, listener);
+	}
+
+	/** Receives the outcome of one call. */
+	private final class Listener implements ClientListener {
+
+		private final GrantCall call;
+
+		private final boolean renewal;
 
-			@Override
-			public void failed(CallFailure failure) {
-				reply.accept(failure.mayHaveRun() ? GrantReply.UNKNOWN : GrantReply.NOT_SENT);
+		private final Consumer<GrantReply> reply;
+
+		Listener(GrantCall call, boolean renewal, Consumer<GrantReply> reply) {
+			this.call = call;
+			this.renewal = renewal;
+			this.reply = reply;
+		}
+
+		// Calls bear no identifier, so a response with one belongs to a request. A
+		// connection is kept only after confirmed grants.
+		@Override
+		public ResponseMatch match(HttpResponse response) {
+			if (TargetCalls.this.dialect.responseFields(response.headers()).requestId().isPresent()) {
+				return ResponseMatch.OTHER;
 			}
+			boolean confirmed = TargetCalls.this.dialect.grantReply(this.call, response)
+				.outcome() == GrantOutcome.CONFIRMED;
+			return (this.renewal || (confirmed && !this.call.release())) ? ResponseMatch.OWN
+					: ResponseMatch.UNIDENTIFIED;
+		}
+
+		@Override
+		public void answered(HttpResponse response) {
+			this.reply.accept(TargetCalls.this.dialect.grantReply(this.call, response));
+		}
+
+		@Override
+		public void failed(CallFailure failure) {
+			this.reply.accept(failure.mayHaveRun() ? GrantReply.UNKNOWN : GrantReply.NOT_SENT);
+		}
+
+	}
+
+	/**
+	 * What a grant has in common with its renewals.
+	 *
+	 * @param target the name of the target
+	 * @param first the first key
+	 * @param last the last key
+	 * @param fence the fencing token
+	 */
+	private record KeyGrant(String target, int first, int last, long fence) {
+
+		static KeyGrant of(GrantCall call) {
+			return new KeyGrant(call.target(), call.first(), call.last(), call.fence());
+		}
 
-		});
 	}
 
 	/**
@@ -156,12 +237,22 @@
 
 		private final Deque<QueuedGrant> waitingGrants = new ArrayDeque<>();
 
+		// Grants that the target confirmed; the same call again is a renewal.
+		private final Set<KeyGrant> confirmed = new LinkedHashSet<>();
+
 		private boolean grantInFlight;
 
 		TargetQueue(TargetConnections connections) {
 			this.connections = connections;
 		}
 
+		private void rememberConfirmed(GrantCall call) {
+			if (this.confirmed.size() >= MAX_CONFIRMED_GRANTS) {
+				this.confirmed.remove(this.confirmed.iterator().next());
+			}
+			this.confirmed.add(KeyGrant.of(call));
+		}
+
 	}
 
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -16,7 +16,9 @@
 import org.redwingramp.node.http.CallFailure;
 import org.redwingramp.node.http.ClientListener;
 import org.redwingramp.node.http.HttpExchange;
+import org.redwingramp.node.http.HttpRequest;
 import org.redwingramp.node.http.HttpResponse;
+import org.redwingramp.node.http.ResponseMatch;
 import org.redwingramp.node.http.TargetConnections;
 import org.redwingramp.node.loop.Timer;
 
@@ -74,6 +76,8 @@
 	// If the service isn't sharded, they aren't tried again.
 	private final List<String> refusedBy = new ArrayList<>();
 
+	private final List<TargetConnections.Call> formerCalls = new ArrayList<>();
+
 	private RequestFields fields;
 
 	private Route route;
@@ -320,9 +324,11 @@
 		this.sends++;
 		candidate.tracker().sent();
 		long remaining = Math.max(1, (long) remainingMillis(now));
-		this.call = candidate.connections()
-			.send(this.node.dialect().targetRequest(this.exchange.request(), candidate.name(), remaining),
-					this.deadlineNanos - now, this.mayHaveRun, new Attempt());
+		HttpRequest request = this.node.dialect().targetRequest(this.exchange.request(), candidate.name(), remaining);
+		long timeoutNanos = this.deadlineNanos - now;
+		this.call = this.mayHaveRun ? candidate.connections().sendOnNewConnection(request, timeoutNanos, new Attempt())
+				: candidate.connections().send(request, timeoutNanos, this.formerCalls, new Attempt());
+		this.formerCalls.add(this.call);
 	}
 
 	private void responseReceived(HttpResponse response) {
@@ -638,19 +644,21 @@
 	}
 
 	/**
-	 * Receives the outcome of one attempt. It accepts only responses with the identifier
-	 * of this request or without one.
+	 * Receives the outcome of one attempt.
 	 */
 	private final class Attempt implements ClientListener {
 
 		@Override
-		public boolean accepts(HttpResponse response) {
-			String id = RequestExecution.this.fields.id().orElseThrow();
-			return RequestExecution.this.node.dialect()
+		public ResponseMatch match(HttpResponse response) {
+			ResponseMatch match = RequestExecution.this.node.dialect()
 				.responseFields(response.headers())
 				.requestId()
-				.filter((responseId) -> !responseId.equals(id))
-				.isEmpty();
+				.map((id) -> id.equals(requestId()) ? ResponseMatch.OWN : ResponseMatch.OTHER)
+				.orElse(ResponseMatch.UNIDENTIFIED);
+			if (match != ResponseMatch.OWN) {
+				logProgress(NodeEvent.RESPONSE_MISMATCH, "match", match + " " + response.status(), System.nanoTime());
+			}
+			return match;
 		}
 
 		@Override
--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
@@ -53,6 +53,9 @@
 	/** A target broke the connection on which it had received a request. */
 	CONNECTION_BROKEN(7108, true),
 
+	/** A response on the connection of a request bears another identifier or none. */
+	RESPONSE_MISMATCH(7109, true),
+
 	/**
 	 * This instance applied a view that contains a configuration, or didn't apply a view
 	 * because it was outdated or based on another view than the current one.
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
@@ -19,8 +19,9 @@
 
 /**
  * An HTTP/1.1 client connection to a target. Invariants: it carries one call at a time; a
- * connection on which anything unexpected happened is closed and never reused. Not thread
- * safe; it is confined to the event loop's thread.
+ * connection on which anything unexpected happened is closed and never reused; a response
+ * without an identifier counts only for the first call and ends the use of the
+ * connection. Not thread safe; it is confined to the event loop's thread.
  */
 final class ClientConnection implements TcpHandler, HttpParser.ResponseHandler {
 
@@ -79,6 +80,11 @@
 
 	private boolean persistent = true;
 
+	private int calls;
+
+	// Whether a response didn't belong to the call in flight.
+	private boolean mismatched;
+
 	private boolean complete;
 
 	private boolean malformed;
@@ -97,6 +103,7 @@
 
 	void send(byte[] request, boolean headRequest, ClientListener receiver) {
 		this.listener = receiver;
+		this.calls++;
 		this.writtenBytesBeforeCall = this.tcp.writtenBytes();
 		this.framingBytes = 0;
 		this.contentBytes = 0;
@@ -194,15 +201,18 @@
 			this.parser.reset();
 			return;
 		}
-		if (!this.listener.accepts(response)) {
+		ResponseMatch match = this.listener.match(response);
+		boolean unidentified = match == ResponseMatch.UNIDENTIFIED;
+		if (match == ResponseMatch.OTHER || (unidentified && (this.calls > 1 || this.mismatched))) {
 			this.skippedResponses++;
-			this.persistent = false;
+			this.mismatched = true;
 			this.parser.reset();
 			return;
 		}
 		ClientListener receiver = this.listener;
 		this.listener = null;
-		boolean reuse = this.persistent && !surplusBytes && this.tcp.queuedBytes() == 0 && !this.parser.isClose()
+		boolean reuse = this.persistent && !this.mismatched && !unidentified && !surplusBytes
+				&& this.tcp.queuedBytes() == 0 && !this.parser.isClose()
 				&& !Header.lists(response.headers(), "Connection", "close");
 		if (reuse) {
 			this.parser.reset();
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientListener.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientListener.java
@@ -10,9 +10,9 @@
 	 * Decides whether a response belongs to the call. A response that doesn't is
 	 * discarded, and the call waits for the next one on the connection.
 	 * @param response the response
-	 * @return whether it belongs to the call
+	 * @return whether it bears the identifier of the call
 	 */
-	boolean accepts(HttpResponse response);
+	ResponseMatch match(HttpResponse response);
 
 	/**
 	 * Called when the complete response was received.
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
@@ -2,8 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -51,12 +53,40 @@
 	 * Sends a request on an idle connection or on a new one.
 	 * @param request the request
 	 * @param timeoutNanos the timeout of the call, in nanoseconds
-	 * @param fresh whether a new connection must be used
 	 * @param listener receives the outcome
 	 * @return the call, to cancel it
 	 */
-	public Call send(HttpRequest request, long timeoutNanos, boolean fresh, ClientListener listener) {
-		ClientConnection connection = (fresh ? Optional.<ClientConnection>empty() : takeIdle()).orElseGet(this::open);
+	public Call send(HttpRequest request, long timeoutNanos, ClientListener listener) {
+		return send(request, timeoutNanos, List.of(), listener);
+	}
+
+	/**
+	 * Sends a request that may have been sent before with the same identifier. It doesn't
+	 * use the connections of the former calls: a late copy of the response to one of them
+	 * would be taken for the response to this one.
+	 * @param request the request
+	 * @param timeoutNanos the timeout of the call, in nanoseconds
+	 * @param formerCalls the former calls with the same identifier
+	 * @param listener receives the outcome
+	 * @return the call, to cancel it
+	 */
+	public Call send(HttpRequest request, long timeoutNanos, Collection<Call> formerCalls, ClientListener listener) {
+		return send(request, timeoutNanos, takeIdle(formerCalls).orElseGet(this::open), listener);
+	}
+
+	/**
+	 * Sends a request on a new connection, on which no response to another call can be
+	 * pending.
+	 * @param request the request
+	 * @param timeoutNanos the timeout of the call, in nanoseconds
+	 * @param listener receives the outcome
+	 * @return the call, to cancel it
+	 */
+	public Call sendOnNewConnection(HttpRequest request, long timeoutNanos, ClientListener listener) {
+		return send(request, timeoutNanos, open(), listener);
+	}
+
+	private Call send(HttpRequest request, long timeoutNanos, ClientConnection connection, ClientListener listener) {
 		Timer callTimer = this.loop.schedule(timeoutNanos, connection::timeOut);
 		Timer connectTimer = this.loop.schedule(Math.min(timeoutNanos, CONNECT_TIMEOUT_NANOS), () -> {
 			if (!connection.established()) {
@@ -111,9 +141,17 @@
 		this.open.remove(connection);
 	}
 
-	private Optional<ClientConnection> takeIdle() {
+	private Optional<ClientConnection> takeIdle(Collection<Call> formerCalls) {
 		closeExpired();
-		return Optional.ofNullable(this.idle.pollLast());
+		Iterator<ClientConnection> candidates = this.idle.descendingIterator();
+		while (candidates.hasNext()) {
+			ClientConnection candidate = candidates.next();
+			if (formerCalls.stream().noneMatch((call) -> call.connection == candidate)) {
+				candidates.remove();
+				return Optional.of(candidate);
+			}
+		}
+		return Optional.empty();
 	}
 
 	private ClientConnection open() {
@@ -163,8 +201,8 @@
 			return new ClientListener() {
 
 				@Override
-				public boolean accepts(HttpResponse response) {
-					return listener.accepts(response);
+				public ResponseMatch match(HttpResponse response) {
+					return listener.match(response);
 				}
 
 				@Override
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
@@ -9,6 +9,7 @@
 
 import org.redwingramp.core.fleet.FleetTarget;
 import org.redwingramp.core.fleet.TargetHeartbeat;
+import org.redwingramp.core.ownership.GrantOutcome;
 import org.redwingramp.core.ownership.KeyReport;
 import org.redwingramp.core.traffic.CallerLimits;
 import org.redwingramp.core.traffic.GrantMode;
@@ -68,12 +69,17 @@
 
 	@Override
 	public HttpRequest grantRequest(GrantCall call) {
-		return new HttpRequest("POST", "/grant", List.of(), new byte[0]);
+		return new HttpRequest("POST", call.release() ? "/release" : "/grant", List.of(), new byte[0]);
 	}
 
 	@Override
 	public GrantReply grantReply(GrantCall call, HttpResponse response) {
-		return GrantReply.UNKNOWN;
+		GrantOutcome outcome = switch (response.status()) {
+			case 200 -> GrantOutcome.CONFIRMED;
+			case 421 -> GrantOutcome.OTHER_TARGET;
+			default -> GrantOutcome.UNKNOWN;
+		};
+		return new GrantReply(outcome, Header.find(response.headers(), "Handover"));
 	}
 
 	@Override
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -102,6 +102,10 @@
 		sendView(owner, Stream.of(targets).map(ScriptedTarget::address).toList());
 	}
 
+	void sendView(String owner, String address) throws Exception {
+		sendView(owner, List.of(address));
+	}
+
 	void sendView(String owner, CrashingTarget target) throws Exception {
 		sendView(owner, List.of(target.address()));
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessResponseTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessResponseTests.java
@@ -130,12 +130,12 @@
 		CompletableFuture<Object> outcome = new CompletableFuture<>();
 		HttpRequest request = new HttpRequest("GET", "/", List.of(new Header("Host", "h")), new byte[0]);
 		this.loop.post(() -> new TargetConnections(this.loop, target.address(), this.memory).send(request,
-				CALL_TIMEOUT_NANOS, false, new ClientListener() {
+				CALL_TIMEOUT_NANOS, new ClientListener() {
 
 					@Override
-					public boolean accepts(HttpResponse response) {
+					public ResponseMatch match(HttpResponse response) {
 						// Status 299 marks the response to another request.
-						return response.status() != 299;
+						return (response.status() != 299) ? ResponseMatch.OWN : ResponseMatch.OTHER;
 					}
 
 					@Override
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/TruncatedResponseTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/TruncatedResponseTests.java
@@ -85,7 +85,7 @@
 			HttpRequest request = new HttpRequest("GET", "/", List.of(new Header("Host", "h")), new byte[0]);
 			InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
 			this.loop.post(() -> new TargetConnections(this.loop, address, ResponseMemoryLimit.forTargetResponses())
-				.send(request, CALL_TIMEOUT_NANOS, false, new RecordingListener(outcome)));
+				.send(request, CALL_TIMEOUT_NANOS, new RecordingListener(outcome)));
 			return outcome.get();
 		}
 	}
@@ -115,8 +115,8 @@
 	private record RecordingListener(CompletableFuture<Object> outcome) implements ClientListener {
 
 		@Override
-		public boolean accepts(HttpResponse response) {
-			return true;
+		public ResponseMatch match(HttpResponse response) {
+			return ResponseMatch.OWN;
 		}
 
 		@Override
