Number relayed calls uniquely for the control process

What could happen: a leader that lost and regained the leadership opened a new session on the same link, in which the numbers of relayed calls began anew. The late reply to a call of the former leadership then counted for a new call: a release would be confirmed by the reply to an earlier grant. Found by looking for other places that match results by connection.

Change: the sessions draw the numbers from one counter of the process.

Evidence: the new test in EntrySessionsTests failed on the former code.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import org.redwingramp.core.fleet.ViewFlowControl;
 import org.redwingramp.node.api.GrantCall;
@@ -24,14 +25,18 @@
 
 	private final ViewFlowControl flowControl;
 
-	private long nextRelayNumber = 1;
+	private final LongSupplier relayNumbers;
 
 	// Whether the entry instance was last logged as being behind.
 	boolean behind;
 
-	EntrySession(Link link, String name, long configVersion) {
+	// The numbers must be unique among all sessions on the link: a reply to a relayed
+	// call
+	// may arrive after the session in which the call was sent.
+	EntrySession(Link link, String name, long configVersion, LongSupplier relayNumbers) {
 		this.link = link;
 		this.name = name;
+		this.relayNumbers = relayNumbers;
 		this.flowControl = new ViewFlowControl(configVersion, System.nanoTime());
 	}
 
@@ -50,7 +55,7 @@
 	// Sends a call to a target by way of the entry instance and returns the number that
 	// identifies its reply.
 	long relay(long term, String address, GrantCall call, Consumer<GrantReply> reply) {
-		long number = this.nextRelayNumber++;
+		long number = this.relayNumbers.getAsLong();
 		this.pendingRelays.put(number, reply);
 		this.link.send(new LinkMessage.RelayCall(number, term, address, call));
 		return number;
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
@@ -67,6 +67,8 @@
 
 	private final Map<String, Long> disconnectedNanos = new HashMap<>();
 
+	private long lastRelayNumber;
+
 	// The last view that was built, and the inputs that it was built from.
 	private ViewState currentView = ViewState.EMPTY;
 
@@ -175,7 +177,8 @@
 	}
 
 	void openSession(Link link, String entry, long configVersion) {
-		this.sessions.computeIfAbsent(link, (key) -> new EntrySession(link, entry, configVersion));
+		this.sessions.computeIfAbsent(link,
+				(key) -> new EntrySession(link, entry, configVersion, () -> ++this.lastRelayNumber));
 	}
 
 	Optional<EntrySession> session(Link link) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkMessage.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkMessage.java
@@ -77,7 +77,8 @@
 	/**
 	 * Asks an entry instance to relay a grant or release of keys to a target.
 	 *
-	 * @param number identifies the call on this link; the reply repeats it
+	 * @param number identifies the call among all of the sending process; the reply
+	 * repeats it
 	 * @param term the term of the leader that sent it
 	 * @param address the target's address
 	 * @param call the call
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/EntrySessionsTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/EntrySessionsTests.java
@@ -1,12 +1,24 @@
 package org.redwingramp.node.control;
 
+import java.io.ByteArrayOutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
+import org.redwingramp.node.api.GrantCall;
+import org.redwingramp.node.api.GrantReply;
+import org.redwingramp.node.events.EventWriter;
+import org.redwingramp.node.link.Link;
+import org.redwingramp.node.loop.EventLoop;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -26,6 +38,28 @@
 	@TempDir
 	private Path folder;
 
+	/**
+	 * Guards against the reply to a relayed call that counts for a call of the next
+	 * leadership: a release would be confirmed by the reply to an earlier grant.
+	 */
+	@Test
+	void shouldNotPassTheReplyToACallOfAFormerLeadershipToALaterCall() throws Exception {
+		EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
+		EntrySessions sessions = new EntrySessions(loop, new EventWriter(new ByteArrayOutputStream(), LEADER));
+		Link link = Link.open(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 9), (sender, message) -> {
+		}, (closed) -> {
+		});
+		GrantCall call = new GrantCall("t", false, 0, 9, 1, 3000, Optional.empty());
+		List<GrantReply> replies = new ArrayList<>();
+		sessions.openSession(link, "e", 0);
+		long formerNumber = sessions.session(link).orElseThrow().relay(1, "127.0.0.1:1", call, replies::add);
+		sessions.stopLeading();
+		sessions.openSession(link, "e", 0);
+		sessions.session(link).orElseThrow().relay(3, "127.0.0.1:1", call, replies::add);
+		sessions.session(link).orElseThrow().relayReplied(formerNumber, GrantReply.UNKNOWN);
+		assertThat(replies).isEmpty();
+	}
+
 	/**
 	 * Guards against a new configuration that is queued on a slow link behind views which
 	 * later views supersede. Requests were then routed by configurations that had been
