Let no grant arrive after its keys may have another owner

Cause: a timed out call closed its socket in the orderly way, so the operating system delivered the grant seconds after the partition had healed. Besides, leases were counted from the decision to grant, though the grant may wait in a queue, and an entry instance relayed grants of any age.

Change: connections to targets and links discard unsent bytes when they are closed or their process ends. Leases count from the latest possible arrival of the grant, which LeaseTiming.MAX_ARRIVAL_NANOS bounds; a new leader adds it to the leases that it adopts. A relayed call bears the time, on the clock of the entry instance, after which it isn't relayed.

Evidence: AbandonedCallTests, three of four failed before; LeaseTableTests, five failed with the former ends of leases.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -356,7 +356,7 @@
 	 */
 	public void grantReturned(RangeLease lease, GrantOutcome outcome, long now) {
 		boolean serving = lease.serving();
-		this.leases.grantReturned(lease, outcome);
+		this.leases.grantReturned(lease, outcome, now);
 		recordCall(lease, outcome == GrantOutcome.CONFIRMED || outcome == GrantOutcome.HIGHER_FENCE_SEEN, now);
 		if (outcome == GrantOutcome.OTHER_TARGET) {
 			proposeIfNotPending(new ForgetTarget(lease.range().owner()));
@@ -366,7 +366,8 @@
 		}
 		if (!serving || outcome != GrantOutcome.CONFIRMED) {
 			this.output.decision("grant", "service", lease.service(), "keys", format(lease.range().keys()), "target",
-					lease.range().owner().target(), "fence", lease.range().fence(), "outcome", outcome);
+					lease.range().owner().target(), "fence", lease.range().fence(), "outcome", outcome, "lease-left",
+					(lease.endNanos() - now) / NANOS_PER_MILLI);
 		}
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
@@ -38,8 +38,8 @@
 
 	/**
 	 * Adopts the assignment found at the start of a leadership term. The previous leader
-	 * may have renewed any lease until now, so each range counts as held for the full
-	 * duration of a lease.
+	 * may have renewed any lease until now, and the renewal may still arrive, so each
+	 * range counts as held for the full duration of a lease from the latest arrival.
 	 * @param service the service
 	 * @param keys the assignment
 	 * @param now the monotonic time in nanoseconds
@@ -71,7 +71,7 @@
 	 * @param now the monotonic time in nanoseconds
 	 */
 	public void quarantine(String service, List<KeyRange> gaps, long now) {
-		gaps.forEach((keys) -> this.quarantines.add(new Quarantine(service, keys, this.timing.endOf(now))));
+		gaps.forEach((keys) -> this.quarantines.add(new Quarantine(service, keys, endOfLatestGrant(now))));
 	}
 
 	/**
@@ -107,7 +107,7 @@
 			}
 		});
 		keys.ranges().forEach((range) -> uncovered(leases, range.keys()).forEach((part) -> {
-			long end = (this.initialPhase == RangeLease.Phase.HELD) ? this.timing.endOf(now) : now;
+			long end = (this.initialPhase == RangeLease.Phase.HELD) ? endOfLatestGrant(now) : now;
 			RangeLease lease = new RangeLease(service, range.with(part), this.initialPhase,
 					now - this.timing.renewNanos(), end);
 			Optional.ofNullable(this.handovers.remove(handoverKey(service, part)))
@@ -222,16 +222,21 @@
 	 * @param now the monotonic time in nanoseconds
 	 */
 	public void grantSent(RangeLease lease, long now) {
-		lease.callSent(now, this.timing.endOf(now));
+		lease.callSent(now, endOfLatestGrant(now));
 	}
 
 	/**
-	 * Records the outcome of a grant.
+	 * Records the outcome of a grant. The lease counts from now if the target may have
+	 * received the grant, since it may have arrived at any time until now.
 	 * @param lease the lease
 	 * @param outcome the outcome
+	 * @param now the monotonic time in nanoseconds
 	 */
-	public void grantReturned(RangeLease lease, GrantOutcome outcome) {
+	public void grantReturned(RangeLease lease, GrantOutcome outcome, long now) {
 		lease.callReturned();
+		boolean received = outcome == GrantOutcome.CONFIRMED || outcome == GrantOutcome.UNKNOWN;
+		long latestArrival = Math.min(now, lease.lastSentNanos() + LeaseTiming.MAX_ARRIVAL_NANOS);
+		lease.grantArrived(received ? this.timing.endOf(latestArrival) : lease.previousEndNanos());
 		if (outcome == GrantOutcome.UNKNOWN) {
 			lease.lateGrantPossibleUntil(lease.lastSentNanos() + LeaseTiming.LATE_GRANT_NANOS);
 		}
@@ -241,9 +246,10 @@
 		else if (outcome == GrantOutcome.HIGHER_FENCE_SEEN) {
 			lease.grantRefused();
 		}
-		else if (outcome == GrantOutcome.NOT_SENT) {
-			lease.grantNotSent();
-		}
+	}
+
+	private long endOfLatestGrant(long now) {
+		return this.timing.endOf(now + LeaseTiming.MAX_ARRIVAL_NANOS);
 	}
 
 	/**
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTiming.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTiming.java
@@ -21,6 +21,13 @@
 	 */
 	public static final long LATE_GRANT_NANOS = 12_500 * MILLISECOND;
 
+	/**
+	 * Maximum time in nanoseconds from the decision to send a grant until it has arrived
+	 * at the target, or can't arrive any more because its connection was reset. Includes
+	 * the time in queues and on the way by an entry instance.
+	 */
+	public static final long MAX_ARRIVAL_NANOS = 1000 * MILLISECOND;
+
 	/**
 	 * Default timing. A grant remains valid during a change of the control leader that
 	 * takes up to 2 s, and the keys of an unresponsive target can be reassigned after
@@ -31,11 +38,12 @@
 
 	/**
 	 * Returns the earliest time at which a grant is certain to have expired.
-	 * @param sentNanos the monotonic time in nanoseconds at which the grant was sent
+	 * @param arrivalNanos the monotonic time in nanoseconds at which the grant arrived at
+	 * the latest, apart from the delay of the network
 	 * @return the end of the lease as monotonic time in nanoseconds
 	 */
-	public long endOf(long sentNanos) {
-		return sentNanos + (long) (this.grantDurationNanos * (1 + this.driftBound)) + this.marginNanos;
+	public long endOf(long arrivalNanos) {
+		return arrivalNanos + (long) (this.grantDurationNanos * (1 + this.driftBound)) + this.marginNanos;
 	}
 
 }
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/RangeLease.java
@@ -240,9 +240,13 @@
 		this.endNanos = Math.max(this.endNanos, end);
 	}
 
-	// A grant that was not sent does not extend the lease.
-	void grantNotSent() {
-		this.endNanos = this.previousEndNanos;
+	// Replaces the end that was assumed while the grant was on its way.
+	void grantArrived(long end) {
+		this.endNanos = Math.max(this.previousEndNanos, end);
+	}
+
+	long previousEndNanos() {
+		return this.previousEndNanos;
 	}
 
 	void releaseSent(long now) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import org.redwingramp.core.ownership.KeyReport.HeldRange;
 import org.redwingramp.core.ownership.KeyReport.ReleasedRange;
@@ -29,11 +31,52 @@
 	void shouldNotReassignARangeBeforeTheLeaseEndsAfterAGrantOfUnknownOutcome() {
 		RangeLease lease = newLease();
 		this.table.grantSent(lease, START);
-		this.table.grantReturned(lease, GrantOutcome.UNKNOWN);
+		this.table.grantReturned(lease, GrantOutcome.UNKNOWN, START);
 		assertThat(this.table.assignable(lease, START + LeaseTiming.DEFAULT.grantDurationNanos())).isFalse();
 		assertThat(this.table.assignable(lease, LeaseTiming.DEFAULT.endOf(START) + 1)).isTrue();
 	}
 
+	/**
+	 * Guards against an owner that holds keys beside the next one, because its grant
+	 * waited in a queue or on a slow link and its lease was counted from before that.
+	 */
+	@ParameterizedTest
+	@EnumSource(names = { "CONFIRMED", "UNKNOWN" })
+	void shouldCountALeaseFromTheLatestPossibleArrivalOfItsGrant(GrantOutcome outcome) {
+		RangeLease lease = newLease();
+		this.table.grantSent(lease, START);
+		long arrival = START + 900 * MS;
+		this.table.grantReturned(lease, outcome, arrival);
+		assertThat(this.table.assignable(lease, arrival + LeaseTiming.DEFAULT.grantDurationNanos())).isFalse();
+		assertThat(this.table.assignable(lease, LeaseTiming.DEFAULT.endOf(arrival) + 1)).isTrue();
+	}
+
+	/** Guards against a late outcome that keeps keys without an owner for long. */
+	@Test
+	void shouldNotCountALeaseFromAfterItsGrantCanHaveArrived() {
+		RangeLease lease = newLease();
+		this.table.grantSent(lease, START);
+		this.table.grantReturned(lease, GrantOutcome.UNKNOWN, START + 60_000 * MS);
+		assertThat(lease.endNanos()).isEqualTo(LeaseTiming.DEFAULT.endOf(START + LeaseTiming.MAX_ARRIVAL_NANOS));
+	}
+
+	/**
+	 * Guards against keys that are assigned while a grant of the former fence is on its
+	 * way, after the range got a new one.
+	 */
+	@Test
+	void shouldHoldARangeWithNewFenceUntilTheGrantInFlightHasEnded() {
+		RangeLease lease = confirmedLease();
+		long later = START + 500 * MS;
+		this.table.grantSent(lease, later);
+		this.keys.assign(new OwnedRange(KeyRange.ALL, OWNER, 2));
+		this.table.applyAssignment("s", this.keys, later + MS);
+		this.table.grantReturned(lease, GrantOutcome.UNKNOWN, later + 400 * MS);
+		RangeLease next = this.table.find("s", KeyRange.ALL).orElseThrow();
+		long end = later + 400 * MS + LeaseTiming.DEFAULT.grantDurationNanos();
+		assertThat(this.table.assignable(next, end)).isFalse();
+	}
+
 	// A target repeats the report of a release until a heartbeat is acknowledged.
 	@Test
 	void shouldNotFreeARangeByARepeatedReportOfAnEarlierRelease() {
@@ -69,10 +112,10 @@
 	void shouldNotExtendALeaseByAGrantThatWasNotSent() {
 		RangeLease lease = newLease();
 		this.table.grantSent(lease, START);
-		this.table.grantReturned(lease, GrantOutcome.CONFIRMED);
+		this.table.grantReturned(lease, GrantOutcome.CONFIRMED, START);
 		long later = START + 1000 * MS;
 		this.table.grantSent(lease, later);
-		this.table.grantReturned(lease, GrantOutcome.NOT_SENT);
+		this.table.grantReturned(lease, GrantOutcome.NOT_SENT, later);
 		assertThat(lease.endNanos()).isEqualTo(LeaseTiming.DEFAULT.endOf(START));
 	}
 
@@ -86,7 +129,7 @@
 		RangeLease part = this.table.split(whole, new KeyRange(100, 199));
 		long later = START + 500 * MS;
 		this.table.grantSent(part, later);
-		this.table.grantReturned(part, GrantOutcome.CONFIRMED);
+		this.table.grantReturned(part, GrantOutcome.CONFIRMED, later);
 		List<OwnedRange> merged = this.table.mergeable("s", RangeLease::serving);
 		assertThat(merged).hasSize(1);
 		this.keys.assign(new OwnedRange(merged.get(0).keys(), OWNER, 2));
@@ -144,7 +187,8 @@
 		RangeLease lease = this.table.of("s").get(0);
 		assertThat(lease.serving()).isTrue();
 		assertThat(this.table.grantDue(lease, START)).isTrue();
-		assertThat(this.table.assignable(lease, LeaseTiming.DEFAULT.endOf(START))).isFalse();
+		long latestArrival = START + LeaseTiming.MAX_ARRIVAL_NANOS;
+		assertThat(this.table.assignable(lease, LeaseTiming.DEFAULT.endOf(latestArrival))).isFalse();
 	}
 
 	@Test
@@ -165,7 +209,7 @@
 	private RangeLease confirmedLease() {
 		RangeLease lease = newLease();
 		this.table.grantSent(lease, START);
-		this.table.grantReturned(lease, GrantOutcome.CONFIRMED);
+		this.table.grantReturned(lease, GrantOutcome.CONFIRMED, START);
 		return lease;
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -350,6 +350,9 @@
 		link.send(leaderInfo());
 		if (this.controller.isPresent()) {
 			long now = System.nanoTime();
+			report.clockMillis()
+				.ifPresent((millis) -> this.entries.session(link)
+					.ifPresent((session) -> session.clockReported(millis, now)));
 			this.entries.viewAcknowledged(link, (report.term() == this.replica.term()) ? report.sequence() : 0, now);
 			this.controller.get().report(report.entry(), report.report(), now);
 		}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -27,6 +29,10 @@
 
 	private final LongSupplier relayNumbers;
 
+	private Optional<Long> reportedClockMillis = Optional.empty();
+
+	private long clockReportedNanos;
+
 	// Whether the entry instance was last logged as being behind.
 	boolean behind;
 
@@ -57,10 +63,25 @@
 	long relay(long term, String address, GrantCall call, Consumer<GrantReply> reply) {
 		long number = this.relayNumbers.getAsLong();
 		this.pendingRelays.put(number, reply);
-		this.link.send(new LinkMessage.RelayCall(number, term, address, call));
+		this.link.send(new LinkMessage.RelayCall(number, term, address, call, relayEndMillis(System.nanoTime())));
 		return number;
 	}
 
+	// Takes note of the entry instance's clock, as a report states it.
+	void clockReported(long millis, long now) {
+		this.reportedClockMillis = Optional.of(millis);
+		this.clockReportedNanos = now;
+	}
+
+	// Returns until when the entry instance may relay a call, on its own clock. The
+	// report
+	// took some time to arrive, so its clock is ahead of what is assumed here, and the
+	// limit is never too late.
+	private Optional<Long> relayEndMillis(long now) {
+		return this.reportedClockMillis.map((clock) -> clock
+				+ TimeUnit.NANOSECONDS.toMillis(now - this.clockReportedNanos) + TargetCalls.MAX_QUEUED_MILLIS);
+	}
+
 	// Passes on the reply to a relayed call. Later replies to the same call are ignored.
 	void relayReplied(long number, GrantReply reply) {
 		Consumer<GrantReply> handler = this.pendingRelays.remove(number);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 
 import org.redwingramp.core.ownership.GrantOutcome;
+import org.redwingramp.core.ownership.LeaseTiming;
 import org.redwingramp.node.api.GrantCall;
 import org.redwingramp.node.api.GrantReply;
 import org.redwingramp.node.api.PlatformDialect;
@@ -52,17 +53,18 @@
 	 */
 	private static final long RELEASE_TIMEOUT_NANOS = 1000 * MILLISECOND;
 
-	private final EventLoop loop;
-
 	/**
-	 * A grant that was queued for longer isn't sent. Measured by the wall clock, since
-	 * the monotonic clock excludes the time in which the process was suspended.
+	 * A grant that was queued for longer isn't sent, so that each grant arrives within
+	 * the time that leases allow for. Measured by the wall clock, since the monotonic
+	 * clock excludes the time in which the process was suspended.
 	 */
-	private static final long MAX_QUEUED_MILLIS = 1000;
+	public static final long MAX_QUEUED_MILLIS = (LeaseTiming.MAX_ARRIVAL_NANOS - GRANT_TIMEOUT_NANOS) / MILLISECOND;
 
 	/** Maximum number of confirmed grants that are remembered for each target. */
 	private static final int MAX_CONFIRMED_GRANTS = 64;
 
+	private final EventLoop loop;
+
 	private final PlatformDialect dialect;
 
 	private final BooleanSupplier mayGrant;
@@ -92,6 +94,17 @@
 	 * @param reply receives the reply once
 	 */
 	public void send(String address, GrantCall call, Consumer<GrantReply> reply) {
+		send(address, call, MAX_QUEUED_MILLIS, reply);
+	}
+
+	/**
+	 * Sends a call as {@link #send(String, GrantCall, Consumer)} does.
+	 * @param address the target's address, {@code ip:port}
+	 * @param call the grant or release
+	 * @param maxQueuedMillis the longest time that a grant may wait, in milliseconds
+	 * @param reply receives the reply once
+	 */
+	public void send(String address, GrantCall call, long maxQueuedMillis, Consumer<GrantReply> reply) {
 		Optional<InetSocketAddress> parsed = TargetAddress.parse(address);
 		if (parsed.isEmpty()) {
 			this.loop.schedule(0, () -> reply.accept(GrantReply.NOT_SENT));
@@ -103,7 +116,7 @@
 			exchangeOnNewConnection(target, call, RELEASE_TIMEOUT_NANOS, reply);
 		}
 		else {
-			target.waitingGrants.add(new QueuedGrant(call, System.currentTimeMillis(), reply));
+			target.waitingGrants.add(new QueuedGrant(call, System.currentTimeMillis(), maxQueuedMillis, reply));
 			sendNextGrant(target);
 		}
 	}
@@ -113,8 +126,7 @@
 			return;
 		}
 		QueuedGrant grant = target.waitingGrants.poll();
-		long queuedForMillis = Math.abs(System.currentTimeMillis() - grant.queuedMillis());
-		if (queuedForMillis > MAX_QUEUED_MILLIS || !this.mayGrant.getAsBoolean()) {
+		if (grant.expired() || !this.mayGrant.getAsBoolean()) {
 			// Another leader may have assigned the keys to another target meanwhile.
 			this.loop.schedule(0, () -> grant.reply().accept(GrantReply.NOT_SENT));
 			sendNextGrant(target);
@@ -127,19 +139,23 @@
 			grant.reply().accept(grantReply);
 		};
 		if (target.confirmed.contains(KeyGrant.of(grant.call()))) {
-			renew(target, grant.call(), returned);
+			renew(target, grant, returned);
 		}
 		else {
 			exchangeOnNewConnection(target, grant.call(), GRANT_TIMEOUT_NANOS, returned);
 		}
 	}
 
-	// A refusal on a kept connection may be a copy, so it is verified.
-	private void renew(TargetQueue target, GrantCall call, Consumer<GrantReply> reply) {
+	// A refusal on a kept connection may be a copy, so it is verified if there is time.
+	private void renew(TargetQueue target, QueuedGrant grant, Consumer<GrantReply> reply) {
+		GrantCall call = grant.call();
 		Listener listener = new Listener(call, true, (grantReply) -> {
 			boolean refused = grantReply.outcome() == GrantOutcome.OTHER_TARGET
 					|| grantReply.outcome() == GrantOutcome.HIGHER_FENCE_SEEN;
-			if (refused) {
+			if (refused && grant.expired()) {
+				reply.accept(GrantReply.UNKNOWN);
+			}
+			else if (refused) {
 				target.confirmed.remove(KeyGrant.of(call));
 				exchangeOnNewConnection(target, call, GRANT_TIMEOUT_NANOS, reply);
 			}
@@ -222,9 +238,15 @@
 	 *
 	 * @param call the call
 	 * @param queuedMillis the wall-clock time at which it was queued
+	 * @param maxQueuedMillis the longest time that it may wait
 	 * @param reply receives the reply
 	 */
-	private record QueuedGrant(GrantCall call, long queuedMillis, Consumer<GrantReply> reply) {
+	private record QueuedGrant(GrantCall call, long queuedMillis, long maxQueuedMillis, Consumer<GrantReply> reply) {
+
+		boolean expired() {
+			return Math.abs(System.currentTimeMillis() - this.queuedMillis) > this.maxQueuedMillis;
+		}
+
 	}
 
 	/**
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -268,7 +268,8 @@
 		this.keyUseMillis.clear();
 		this.unacknowledgedBytes = 0;
 		return new LinkMessage.Report(this.settings.instance(), this.view.term(), this.view.sequence(),
-				new EntryReport(targets, keys, this.observations.drainUnreported(System.nanoTime())));
+				new EntryReport(targets, keys, this.observations.drainUnreported(System.nanoTime())),
+				Optional.of(System.nanoTime() / MILLISECOND));
 	}
 
 	@Override
@@ -286,15 +287,19 @@
 
 	// A leader whose process was suspended may resume a round of grants after another
 	// leader has been elected. If this instance has applied a view of the newer term,
-	// it doesn't relay calls of the older one.
+	// it doesn't relay calls of the older one. A call that a partition held up isn't
+	// relayed either: by now the keys may have another owner.
 	private void relay(Link link, LinkMessage.RelayCall relay) {
-		if (relay.term() < this.view.term()) {
+		long leftMillis = relay.notAfterMillis()
+			.map((end) -> end - System.nanoTime() / MILLISECOND)
+			.orElse(TargetCalls.MAX_QUEUED_MILLIS);
+		if (relay.term() < this.view.term() || leftMillis < 0) {
 			this.events.log(NodeEvent.RELAY_REFUSED, "address", relay.address(), "fence", relay.call().fence(), "term",
-					relay.term(), "newer-term", this.view.term());
+					relay.term(), "newest-term", this.view.term(), "left", leftMillis);
 			link.send(new LinkMessage.RelayReply(relay.number(), GrantReply.NOT_SENT));
 			return;
 		}
-		this.calls.send(relay.address(), relay.call(),
+		this.calls.send(relay.address(), relay.call(), leftMillis,
 				(reply) -> link.send(new LinkMessage.RelayReply(relay.number(), reply)));
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
@@ -98,7 +98,10 @@
 	ClientConnection(EventLoop loop, InetSocketAddress address, TargetConnections owner, ResponseMemoryLimit memory) {
 		this.owner = owner;
 		this.memory = memory;
-		this.tcp = loop.connect(address, (connection) -> this);
+		this.tcp = loop.connect(address, (connection) -> {
+			connection.discardUnsentOnClose();
+			return this;
+		});
 	}
 
 	void send(byte[] request, boolean headRequest, ClientListener receiver) {
@@ -115,7 +118,7 @@
 	// Ends the call without notifying its listener.
 	void cancel() {
 		this.listener = null;
-		close();
+		abort();
 	}
 
 	// Fails the call because a timeout expired.
@@ -131,15 +134,22 @@
 		return !this.closed && now < this.reusableUntilNanos;
 	}
 
+	// Closes a connection without a call in flight.
 	void close() {
 		if (!this.closed) {
 			this.closed = true;
 			releaseBody();
-			this.tcp.close();
+			this.tcp.closeOrderly();
 			this.owner.connectionClosed(this);
 		}
 	}
 
+	// Closes the connection so that a call which hasn't reached the target never does.
+	private void abort() {
+		this.tcp.close();
+		close();
+	}
+
 	@Override
 	public void received(ByteBuffer data) {
 		if (this.listener == null) {
@@ -240,7 +250,7 @@
 		ClientListener receiver = this.listener;
 		this.listener = null;
 		boolean mayHaveRun = this.tcp.writtenBytes() > this.writtenBytesBeforeCall;
-		close();
+		abort();
 		if (receiver != null) {
 			receiver.failed(new CallFailure(cause, mayHaveRun));
 		}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/Link.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/Link.java
@@ -47,6 +47,8 @@
 		this.tcp = tcp;
 		this.receiver = receiver;
 		this.closeListener = closeListener;
+		// Messages state what holds when they are sent, so none may arrive much later.
+		tcp.discardUnsentOnClose();
 	}
 
 	/**
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkMessage.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkMessage.java
@@ -52,8 +52,11 @@
 	 * @param term the term of its current view
 	 * @param sequence the sequence number of its current view
 	 * @param report the observations
+	 * @param clockMillis the monotonic clock of the entry instance in milliseconds; empty
+	 * if the sender doesn't state it
 	 */
-	record Report(String entry, long term, long sequence, EntryReport report) implements LinkMessage {
+	record Report(String entry, long term, long sequence, EntryReport report,
+			Optional<Long> clockMillis) implements LinkMessage {
 	}
 
 	/**
@@ -82,8 +85,11 @@
 	 * @param term the term of the leader that sent it
 	 * @param address the target's address
 	 * @param call the call
+	 * @param notAfterMillis the time on the monotonic clock of the entry instance, in
+	 * milliseconds, after which the call must not be relayed; empty if there is no limit
 	 */
-	record RelayCall(long number, long term, String address, GrantCall call) implements LinkMessage {
+	record RelayCall(long number, long term, String address, GrantCall call,
+			Optional<Long> notAfterMillis) implements LinkMessage {
 	}
 
 	/**
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
@@ -34,7 +34,7 @@
 				List.of(new EntryReport.KeyUse("s", 1, 1)), List.of(SAMPLE_LIMIT));
 		roundTrip(new LinkMessage.EntryHello("e", 1));
 		roundTrip(new LinkMessage.LeaderInfo("l", true, List.of("l")));
-		roundTrip(new LinkMessage.Report("e", 1, 1, report));
+		roundTrip(new LinkMessage.Report("e", 1, 1, report, Optional.of(1L)));
 		roundTrip(new LinkMessage.View(sampleView()));
 		roundTrip(new LinkMessage.PermitRequest(1, "t", 1, Optional.of(SAMPLE_LIMIT), 1));
 		roundTrip(new LinkMessage.PermitReply(1, true, 1));
--- a/redwingramp-node/src/main/java/org/redwingramp/node/loop/TcpConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/loop/TcpConnection.java
@@ -1,6 +1,7 @@
 package org.redwingramp.node.loop;
 
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -20,6 +21,9 @@
 	 */
 	private static final long LINGER_NANOS = 1_000_000_000L;
 
+	/** Turns the socket option SO_LINGER off. */
+	private static final int NO_LINGER = -1;
+
 	private final EventLoop loop;
 
 	private final Deque<ByteBuffer> writeQueue = new ArrayDeque<>();
@@ -36,6 +40,8 @@
 
 	private boolean closing;
 
+	private boolean discardsUnsent;
+
 	private long queuedBytes;
 
 	private long writtenBytes;
@@ -59,6 +65,28 @@
 		}
 	}
 
+	/**
+	 * Makes the connection discard what the peer hasn't received when it is closed or its
+	 * process ends. Otherwise the operating system sends these bytes for minutes, also
+	 * after a partition in which the peer couldn't be reached.
+	 */
+	public void discardUnsentOnClose() {
+		this.discardsUnsent = true;
+		if (this.channel != null) {
+			setLinger(0);
+		}
+	}
+
+	/**
+	 * Closes the connection at once in the orderly way, since the peer owes nothing more.
+	 */
+	public void closeOrderly() {
+		if (this.channel != null && !this.closed && this.discardsUnsent) {
+			setLinger(NO_LINGER);
+		}
+		close();
+	}
+
 	/**
 	 * Closes the connection at once. Queued bytes are discarded.
 	 */
@@ -144,6 +172,9 @@
 		this.channel = socket;
 		this.key = selection;
 		this.connected = established;
+		if (this.discardsUnsent) {
+			setLinger(0);
+		}
 		if (this.closed) {
 			this.closed = false;
 			close();
@@ -172,6 +203,15 @@
 		}
 	}
 
+	private void setLinger(int seconds) {
+		try {
+			this.channel.setOption(StandardSocketOptions.SO_LINGER, seconds);
+		}
+		catch (IOException ex) {
+			this.loop.schedule(0, () -> fail(ex));
+		}
+	}
+
 	private void finishConnecting() {
 		try {
 			this.channel.finishConnect();
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/SlowEntry.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/SlowEntry.java
@@ -8,6 +8,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.redwingramp.core.fleet.EntryReport;
@@ -86,7 +87,7 @@
 			this.configReadNanos.put(view.configVersion(), System.nanoTime());
 		}
 		send(new LinkMessage.Report("slow", view.term(), view.sequence(),
-				new EntryReport(List.of(), List.of(), List.of())));
+				new EntryReport(List.of(), List.of(), List.of()), Optional.empty()));
 	}
 
 	private void send(LinkMessage message) throws IOException, CodecException {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -141,8 +141,13 @@
 	// Asks the entry instance to relay a grant of the leader of the given term, and
 	// returns the outcome.
 	GrantOutcome relay(long term, ScriptedTarget target) throws Exception {
+		return relay(term, Optional.empty(), target);
+	}
+
+	GrantOutcome relay(long term, Optional<Long> notAfterMillis, ScriptedTarget target) throws Exception {
 		GrantCall call = new GrantCall("t-0", false, 0, 9, 1, 3000, Optional.empty());
-		this.loop.post(() -> this.entryLink.get().send(new LinkMessage.RelayCall(1, term, target.address(), call)));
+		this.loop.post(() -> this.entryLink.get()
+			.send(new LinkMessage.RelayCall(1, term, target.address(), call, notAfterMillis)));
 		return this.relayReplies.poll(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).outcome();
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
@@ -1,6 +1,7 @@
 package org.redwingramp.node.entry;
 
 import java.net.Socket;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -52,6 +53,22 @@
 		}
 	}
 
+	/**
+	 * Guards against a grant that a partition held up on its way to the entry instance:
+	 * when it arrives, the keys may be granted to another target with a higher fence.
+	 */
+	@Test
+	void shouldRefuseToRelayACallThatArrivesTooLate() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.NO_RESPONSE)) {
+			this.entry.sendView("t-0", target);
+			long clockMillis = System.nanoTime() / 1_000_000;
+			assertThat(this.entry.relay(1, Optional.of(clockMillis - 1), target)).isEqualTo(GrantOutcome.NOT_SENT);
+			assertThat(target.requests).isEmpty();
+			assertThat(this.entry.relay(1, Optional.of(clockMillis + 500), target)).isEqualTo(GrantOutcome.UNKNOWN);
+			assertThat(target.requests).hasSize(1);
+		}
+	}
+
 	@Test
 	void shouldReturnTheResponseOfTheOwner() throws Exception {
 		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.response("1", "hello"))) {
--- /dev/null
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/AbandonedCallTests.java
@@ -0,0 +1,164 @@
+package org.redwingramp.node.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import org.redwingramp.node.link.Link;
+import org.redwingramp.node.loop.EventLoop;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Guards against bytes of a call that was given up and that the operating system delivers
+ * after a partition has healed. A connection that is closed in the orderly way keeps its
+ * unsent bytes; only a reset discards them, so the tests check for the reset.
+ */
+@Timeout(20)
+class AbandonedCallTests {
+
+	private static final long CALL_TIMEOUT_NANOS = 200_000_000L;
+
+	private EventLoop loop;
+
+	@BeforeEach
+	void startLoop() throws IOException {
+		this.loop = new EventLoop((failure) -> failure.printStackTrace());
+		Thread thread = new Thread(this::run, "loop");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	@AfterEach
+	void stopLoop() {
+		this.loop.stop();
+	}
+
+	/** Guards against renewals that arrive seconds after they timed out. */
+	@Test
+	void shouldResetTheConnectionOfACallThatTimedOut() throws Exception {
+		try (ServerSocket target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			this.loop.post(() -> send(target, CALL_TIMEOUT_NANOS));
+			assertReset(target);
+		}
+	}
+
+	/** Guards against requests that run after their caller was told that they failed. */
+	@Test
+	void shouldResetTheConnectionOfACancelledCall() throws Exception {
+		try (ServerSocket target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			this.loop.post(() -> {
+				TargetConnections.Call call = send(target, 100 * CALL_TIMEOUT_NANOS);
+				this.loop.schedule(CALL_TIMEOUT_NANOS, call::cancel);
+			});
+			assertReset(target);
+		}
+	}
+
+	/** Guards against relayed grants that arrive over a link which was replaced. */
+	@Test
+	void shouldResetALinkThatIsClosed() throws Exception {
+		CompletableFuture<InetSocketAddress> address = new CompletableFuture<>();
+		this.loop.post(() -> {
+			try {
+				address.complete((InetSocketAddress) this.loop
+					.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), (tcp) -> {
+						Link link = Link.accepted(tcp, (sender, message) -> {
+						}, (closed) -> {
+						});
+						this.loop.schedule(CALL_TIMEOUT_NANOS, link::close);
+						return link;
+					})
+					.getLocalAddress());
+			}
+			catch (IOException ex) {
+				address.completeExceptionally(ex);
+			}
+		});
+		try (Socket socket = new Socket(address.get().getAddress(), address.get().getPort())) {
+			assertThatExceptionOfType(SocketException.class).isThrownBy(() -> socket.getInputStream().read());
+		}
+	}
+
+	/** Guards against resets that targets see when nothing was given up. */
+	@Test
+	void shouldCloseAnIdleConnectionInTheOrderlyWay() throws Exception {
+		try (ServerSocket target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			TargetConnections connections = connections(target);
+			CompletableFuture<Object> answered = new CompletableFuture<>();
+			this.loop.post(() -> connections.send(request(), 100 * CALL_TIMEOUT_NANOS, new Recorder(answered)));
+			try (Socket socket = target.accept()) {
+				InputStream input = socket.getInputStream();
+				assertThat(input.read(new byte[1000])).isPositive();
+				socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes());
+				assertThat(answered.get()).isInstanceOf(HttpResponse.class);
+				this.loop.post(connections::closeIdle);
+				assertThat(input.read()).isEqualTo(-1);
+			}
+		}
+	}
+
+	// Accepts a connection, reads the call and checks how the connection ends.
+	private static void assertReset(ServerSocket target) throws IOException {
+		try (Socket socket = target.accept()) {
+			InputStream input = socket.getInputStream();
+			assertThat(input.read(new byte[1000])).isPositive();
+			assertThatExceptionOfType(SocketException.class).isThrownBy(input::read);
+		}
+	}
+
+	private TargetConnections.Call send(ServerSocket target, long timeoutNanos) {
+		return connections(target).send(request(), timeoutNanos, new Recorder(new CompletableFuture<>()));
+	}
+
+	private TargetConnections connections(ServerSocket target) {
+		return new TargetConnections(this.loop, (InetSocketAddress) target.getLocalSocketAddress(),
+				ResponseMemoryLimit.forTargetResponses());
+	}
+
+	private static HttpRequest request() {
+		return new HttpRequest("GET", "/", List.of(new Header("Host", "h")), new byte[0]);
+	}
+
+	private void run() {
+		try {
+			this.loop.run();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("event loop failed", ex);
+		}
+	}
+
+	/** Completes a future with the outcome. */
+	private record Recorder(CompletableFuture<Object> outcome) implements ClientListener {
+
+		@Override
+		public ResponseMatch match(HttpResponse response) {
+			return ResponseMatch.OWN;
+		}
+
+		@Override
+		public void answered(HttpResponse response) {
+			this.outcome.complete(response);
+		}
+
+		@Override
+		public void failed(CallFailure failure) {
+			this.outcome.complete(failure);
+		}
+
+	}
+
+}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/link/LinkMessageTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/link/LinkMessageTests.java
@@ -47,10 +47,11 @@
 		GrantCall call = new GrantCall("t", false, 0, 9, 1L << 40, 3000, Optional.of("token"));
 		for (LinkMessage message : List.of(new LinkMessage.ReplicaHello(replica, true),
 				new LinkMessage.Consensus(replica, new PeerMessage.PreVoteReply(3, true)),
-				new LinkMessage.EntryHello("e", 4), new LinkMessage.Report("e", 1, 2, report),
+				new LinkMessage.EntryHello("e", 4), new LinkMessage.Report("e", 1, 2, report, Optional.of(8L)),
 				new LinkMessage.LeaderInfo("", false, List.of("a", "b")), new LinkMessage.View(LinkWarmup.sampleView()),
 				new LinkMessage.PermitRequest(6, "t", 5.9, Optional.of(limit), 200),
-				new LinkMessage.PermitReply(6, true, 15), new LinkMessage.RelayCall(5, 3, "10.0.0.1:80", call),
+				new LinkMessage.PermitReply(6, true, 15),
+				new LinkMessage.RelayCall(5, 3, "10.0.0.1:80", call, Optional.of(9L)),
 				new LinkMessage.RelayReply(5, new GrantReply(GrantOutcome.CONFIRMED, Optional.empty())))) {
 			assertThat(Link.CODEC.decode(Link.CODEC.encode(message))).usingRecursiveComparison().isEqualTo(message);
 		}
