Bound the memory for the bodies of requests

Cause: a body was held up to four times, nothing bounded the bodies together, and an OutOfMemoryError ended the event loop.

An error ends its connection, not the loop.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -33,10 +33,13 @@
 import org.redwingramp.node.events.EventWriter;
 import org.redwingramp.node.events.NodeEvent;
 import org.redwingramp.node.events.NodeMetrics;
+import org.redwingramp.node.http.Header;
 import org.redwingramp.node.http.HttpExchange;
 import org.redwingramp.node.http.HttpLimits;
+import org.redwingramp.node.http.HttpRequest;
 import org.redwingramp.node.http.HttpResponse;
 import org.redwingramp.node.http.HttpServer;
+import org.redwingramp.node.http.RequestMemoryLimit;
 import org.redwingramp.node.link.Link;
 import org.redwingramp.node.link.LinkMessage;
 import org.redwingramp.node.link.LinkWarmup;
@@ -101,6 +104,8 @@
 
 	private final EntryObservations observations = new EntryObservations();
 
+	private final RequestMemoryLimit requestMemory = RequestMemoryLimit.ofHeap();
+
 	private final RatePermits permits;
 
 	private final CrashSuspects suspects = new CrashSuspects(this.observations);
@@ -153,7 +158,8 @@
 	public static EntryNode start(EventLoop loop, EntrySettings settings, PlatformDialect dialect, EventWriter events)
 			throws IOException {
 		EntryNode node = new EntryNode(loop, settings, dialect, events);
-		node.callerServer = HttpServer.start(loop, settings.listen(), node::limits, node::handle);
+		node.callerServer = HttpServer.start(loop, settings.listen(), node::limits, node::handle, node.requestMemory);
+		node.callerServer.onBodyRefused(node::bodyRefused);
 		HttpServer.start(loop, settings.readiness(), node::limits, node::readiness);
 		node.control.start();
 		node.addGauges(events.metrics());
@@ -208,6 +214,8 @@
 		metrics.gauge("targets", () -> this.view.targetCount());
 		metrics.gauge("target_connections_opened", () -> this.view.connectionsOpened());
 		metrics.gauge("unfinished_answer_bytes", () -> this.view.unfinishedAnswerBytes());
+		metrics.gauge("request_body_bytes", () -> this.requestMemory.reservedBytes());
+		metrics.gauge("request_bodies_refused", () -> this.requestMemory.refusedBodies());
 		metrics.gauge("requests_waiting_for_owner", () -> this.waitingForOwner.size());
 	}
 
@@ -244,6 +252,14 @@
 				HttpResponse.empty(this.dialect.isReadinessRequest(exchange.request()) ? (ready ? 200 : 503) : 404));
 	}
 
+	private void bodyRefused(String target, List<Header> headers, long bytes) {
+		this.events.metrics().count("requests", Refusal.BODY_MEMORY.name());
+		this.events.log(NodeEvent.REQUEST_REFUSED, "request",
+				this.dialect.requestFields(new HttpRequest("", target, headers, new byte[0])).id().orElse(""), "reason",
+				Refusal.BODY_MEMORY, "status", Refusal.BODY_MEMORY.status(), "bytes", bytes, "bodies-in-memory",
+				this.requestMemory.reservedBytes());
+	}
+
 	private void handle(HttpExchange exchange) {
 		new RequestExecution(this, exchange).start();
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/Refusal.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/Refusal.java
@@ -30,6 +30,9 @@
 	/** The request can't be served before its deadline. */
 	OVERLOADED(503),
 
+	/** The bodies of the requests in progress leave no memory for that of this one. */
+	BODY_MEMORY(503),
+
 	/** The rate limit of a target that is still warming up is exhausted. */
 	COLD(503),
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
@@ -1,6 +1,5 @@
 package org.redwingramp.node.http;
 
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -62,7 +61,7 @@
 
 	private final ResponseMemoryLimit memory;
 
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+	private final BodyBuffer body = new BodyBuffer();
 
 	private long framingBytes;
 
@@ -104,15 +103,15 @@
 		});
 	}
 
-	void send(byte[] request, boolean headRequest, ClientListener receiver) {
+	void send(HttpRequest request, ClientListener receiver) {
 		this.listener = receiver;
 		this.calls++;
 		this.writtenBytesBeforeCall = this.tcp.writtenBytes();
 		this.framingBytes = 0;
 		this.contentBytes = 0;
 		this.skippedResponses = 0;
-		this.parser.setHeadResponse(headRequest);
-		this.tcp.write(request);
+		this.parser.setHeadResponse(request.method().equals("HEAD"));
+		HttpSerializer.writeRequest(this.tcp, request);
 	}
 
 	// Ends the call without notifying its listener.
@@ -203,9 +202,9 @@
 
 	private void finishResponse(boolean surplusBytes) {
 		this.complete = false;
-		HttpResponse response = new HttpResponse(this.status, this.headers, this.body.toByteArray());
+		this.memory.release(this.body.size());
+		HttpResponse response = new HttpResponse(this.status, this.headers, this.body.take());
 		this.headers = new ArrayList<>();
-		releaseBody();
 		if (response.status() < MIN_FINAL_STATUS) {
 			this.skippedResponses++;
 			this.parser.reset();
@@ -243,7 +242,7 @@
 
 	private void releaseBody() {
 		this.memory.release(this.body.size());
-		this.body.reset();
+		this.body.clear();
 	}
 
 	private void fail(Cause cause) {
@@ -282,14 +281,14 @@
 
 	@Override
 	public boolean content(ByteBuffer data) {
-		byte[] bytes = new byte[data.remaining()];
-		data.get(bytes);
-		this.framingBytes -= bytes.length;
-		this.contentBytes += bytes.length;
-		if (this.memory.reserve(this.body.size(), bytes.length)) {
-			this.body.writeBytes(bytes);
+		int added = data.remaining();
+		this.framingBytes -= added;
+		this.contentBytes += added;
+		if (this.memory.reserve(this.body.size(), added)) {
+			this.body.append(data);
 		}
 		else {
+			data.position(data.limit());
 			this.malformed = true;
 		}
 		return this.malformed;
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpSerializer.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpSerializer.java
@@ -3,17 +3,21 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
+import org.redwingramp.node.loop.TcpConnection;
+
 /**
- * Serializes HTTP/1.1 requests and responses. Stateless and thread safe.
+ * Writes HTTP/1.1 requests and responses. Stateless and thread safe.
  */
 final class HttpSerializer {
 
 	private static final int INITIAL_HEAD_CHARS = 512;
 
+	private static final int MAX_COPIED_BODY_BYTES = 16 * 1024;
+
 	private HttpSerializer() {
 	}
 
-	static byte[] request(HttpRequest request) {
+	static void writeRequest(TcpConnection tcp, HttpRequest request) {
 		StringBuilder head = new StringBuilder(INITIAL_HEAD_CHARS).append(request.method())
 			.append(' ')
 			.append(request.target())
@@ -23,10 +27,10 @@
 		if (request.body().length > 0 || bodyAllowed) {
 			head.append("Content-Length: ").append(request.body().length).append("\r\n");
 		}
-		return concatenate(head, request.body());
+		write(tcp, head, request.body());
 	}
 
-	static byte[] response(HttpResponse response, boolean close, boolean headRequest) {
+	static void writeResponse(TcpConnection tcp, HttpResponse response, boolean close, boolean headRequest) {
 		StringBuilder text = new StringBuilder(INITIAL_HEAD_CHARS).append("HTTP/1.1 ")
 			.append(response.status())
 			.append(' ')
@@ -39,19 +43,25 @@
 		if (close) {
 			text.append("Connection: close\r\n");
 		}
-		return concatenate(text, headRequest ? new byte[0] : response.body());
+		write(tcp, text, headRequest ? new byte[0] : response.body());
 	}
 
 	private static void appendFields(StringBuilder text, List<Header> headers) {
 		headers.forEach((header) -> text.append(header.name()).append(": ").append(header.value()).append("\r\n"));
 	}
 
-	private static byte[] concatenate(StringBuilder head, byte[] body) {
+	// A small message is written at once; a large body isn't copied.
+	private static void write(TcpConnection tcp, StringBuilder head, byte[] body) {
 		byte[] headBytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+		if (body.length > MAX_COPIED_BODY_BYTES) {
+			tcp.write(headBytes);
+			tcp.write(body);
+			return;
+		}
 		byte[] message = new byte[headBytes.length + body.length];
 		System.arraycopy(headBytes, 0, message, 0, headBytes.length);
 		System.arraycopy(body, 0, message, headBytes.length, body.length);
-		return message;
+		tcp.write(message);
 	}
 
 	private static String reasonPhrase(int status) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
@@ -27,11 +27,17 @@
 
 	private final HttpHandler handler;
 
+	private final RequestMemoryLimit memory;
+
+	private BodyRefusedListener bodyRefusedListener = (target, headers, bytes) -> {
+	};
+
 	private boolean draining;
 
-	private HttpServer(Supplier<HttpLimits> limits, HttpHandler handler) {
+	private HttpServer(Supplier<HttpLimits> limits, HttpHandler handler, RequestMemoryLimit memory) {
 		this.limits = limits;
 		this.handler = handler;
+		this.memory = memory;
 	}
 
 	/**
@@ -46,7 +52,22 @@
 	 */
 	public static HttpServer start(EventLoop loop, InetSocketAddress address, Supplier<HttpLimits> limits,
 			HttpHandler handler) throws IOException {
-		HttpServer server = new HttpServer(limits, handler);
+		return start(loop, address, limits, handler, RequestMemoryLimit.ofHeap());
+	}
+
+	/**
+	 * Starts a server that listens on an address.
+	 * @param loop the event loop
+	 * @param address the address to listen on
+	 * @param limits supplies the limits
+	 * @param handler handles the requests
+	 * @param memory limits the memory for the bodies of requests
+	 * @return the server
+	 * @throws IOException if the address can't be bound
+	 */
+	public static HttpServer start(EventLoop loop, InetSocketAddress address, Supplier<HttpLimits> limits,
+			HttpHandler handler, RequestMemoryLimit memory) throws IOException {
+		HttpServer server = new HttpServer(limits, handler, memory);
 		server.accept(loop, loop.bind(address));
 		return server;
 	}
@@ -59,7 +80,16 @@
 	 * @return the server
 	 */
 	public static HttpServer create(Supplier<HttpLimits> limits, HttpHandler handler) {
-		return new HttpServer(limits, handler);
+		return new HttpServer(limits, handler, RequestMemoryLimit.ofHeap());
+	}
+
+	/**
+	 * Sets what is told of requests that are refused since their body doesn't fit into
+	 * the memory.
+	 * @param listener the listener
+	 */
+	public void onBodyRefused(BodyRefusedListener listener) {
+		this.bodyRefusedListener = listener;
 	}
 
 	/**
@@ -110,6 +140,14 @@
 		return this.connections.size();
 	}
 
+	RequestMemoryLimit memory() {
+		return this.memory;
+	}
+
+	void bodyRefused(String target, List<Header> headers, long bytes) {
+		this.bodyRefusedListener.bodyRefused(target, headers, bytes);
+	}
+
 	boolean draining() {
 		return this.draining;
 	}
@@ -128,4 +166,17 @@
 		List.copyOf(this.connections).forEach((connection) -> connection.closeIfTimedOut(now, current));
 	}
 
+	/** Receives the requests whose body is refused. */
+	public interface BodyRefusedListener {
+
+		/**
+		 * Called when a request is refused.
+		 * @param target the request target
+		 * @param headers the header fields
+		 * @param bytes the memory that its body needs at least
+		 */
+		void bodyRefused(String target, List<Header> headers, long bytes);
+
+	}
+
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
@@ -1,6 +1,5 @@
 package org.redwingramp.node.http;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -32,6 +31,13 @@
 
 	private static final int CONTENT_TOO_LARGE = 413;
 
+	private static final int SERVICE_UNAVAILABLE = 503;
+
+	/**
+	 * The retry delay for a request whose body doesn't fit into the memory, in seconds.
+	 */
+	private static final String BODY_RETRY_AFTER_SECONDS = "1";
+
 	private final HttpServer server;
 
 	private final TcpConnection tcp;
@@ -40,9 +46,14 @@
 
 	private final HttpParser parser;
 
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+	private final BodyBuffer body = new BodyBuffer();
+
+	private final BodyBuffer pipelined = new BodyBuffer();
+
+	// Memory reserved for the body of the current request.
+	private long reservedBytes;
 
-	private final ByteArrayOutputStream pipelined = new ByteArrayOutputStream(0);
+	private boolean lengthKnown;
 
 	private List<Header> headers = new ArrayList<>();
 
@@ -129,6 +140,7 @@
 		}
 		boolean stalled = this.requestStarted && idle > requestTimeout;
 		if (this.current == null && stalled) {
+			releaseBody();
 			this.tcp.closeAfterWrite();
 			this.server.connectionClosed(this);
 		}
@@ -140,6 +152,7 @@
 	private void closeAndAbandon() {
 		this.tcp.close();
 		this.server.connectionClosed(this);
+		releaseBody();
 		if (this.current != null) {
 			this.current.abandon();
 			this.current = null;
@@ -151,9 +164,7 @@
 			closeAndAbandon();
 			return;
 		}
-		byte[] bytes = new byte[data.remaining()];
-		data.get(bytes);
-		this.pipelined.writeBytes(bytes);
+		this.pipelined.append(data);
 	}
 
 	private void parse(ByteBuffer data) {
@@ -174,9 +185,8 @@
 	}
 
 	private void handleRequest() {
-		HttpRequest request = new HttpRequest(this.method, this.target, this.headers, this.body.toByteArray());
+		HttpRequest request = new HttpRequest(this.method, this.target, this.headers, this.body.take());
 		this.headers = new ArrayList<>();
-		this.body.reset();
 		this.current = new Exchange(request, System.nanoTime());
 		this.server.handle(this.current);
 	}
@@ -186,12 +196,13 @@
 			return;
 		}
 		this.current = null;
+		releaseBody();
 		this.responded = true;
 		this.requestStarted = false;
 		this.lastActivityNanos = System.nanoTime();
 		boolean close = this.server.draining() || this.legacyProtocol
 				|| Header.lists(exchange.request().headers(), "Connection", "close");
-		this.tcp.write(HttpSerializer.response(response, close, exchange.request().method().equals("HEAD")));
+		HttpSerializer.writeResponse(this.tcp, response, close, exchange.request().method().equals("HEAD"));
 		if (close) {
 			this.tcp.closeAfterWrite();
 			this.server.connectionClosed(this);
@@ -199,21 +210,43 @@
 		}
 		this.parser.reset();
 		if (this.pipelined.size() > 0) {
-			byte[] next = this.pipelined.toByteArray();
-			this.pipelined.reset();
-			parse(ByteBuffer.wrap(next));
+			parse(ByteBuffer.wrap(this.pipelined.take()));
 		}
 	}
 
 	private void reject(int status) {
+		reject(HttpResponse.empty(status));
+	}
+
+	private void reject(HttpResponse response) {
 		if (!this.rejected) {
 			this.rejected = true;
-			this.tcp.write(HttpSerializer.response(HttpResponse.empty(status), true, false));
+			releaseBody();
+			HttpSerializer.writeResponse(this.tcp, response, true, false);
 			this.tcp.closeAfterWrite();
 			this.server.connectionClosed(this);
 		}
 	}
 
+	private void releaseBody() {
+		this.server.memory().release(this.reservedBytes);
+		this.reservedBytes = 0;
+		this.body.clear();
+	}
+
+	// Reserves memory for further bytes of the body, or rejects the request.
+	private boolean reserve(long additional) {
+		boolean reserved = this.server.memory().reserve(this.reservedBytes, additional);
+		if (reserved) {
+			this.reservedBytes += additional;
+		}
+		else {
+			this.server.bodyRefused(this.target, this.headers, this.reservedBytes + additional);
+			reject(HttpResponse.empty(SERVICE_UNAVAILABLE, new Header("Retry-After", BODY_RETRY_AFTER_SECONDS)));
+		}
+		return reserved;
+	}
+
 	@Override
 	public void startRequest(String requestMethod, String uri, HttpVersion version) {
 		this.method = requestMethod;
@@ -236,6 +269,16 @@
 	@Override
 	public boolean headerComplete() {
 		this.headComplete = true;
+		long length = this.parser.getContentLength();
+		this.lengthKnown = length > 0;
+		if (length > this.limits.maxBodyBytes()) {
+			reject(CONTENT_TOO_LARGE);
+			return true;
+		}
+		if (this.lengthKnown && !reserve(length)) {
+			return true;
+		}
+		this.body.expect((int) Math.max(0, length));
 		if (Header.lists(this.headers, "Expect", "100-continue")) {
 			this.tcp.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
 		}
@@ -249,9 +292,12 @@
 			reject(CONTENT_TOO_LARGE);
 			return true;
 		}
-		byte[] bytes = new byte[data.remaining()];
-		data.get(bytes);
-		this.body.writeBytes(bytes);
+		// A body of unknown length is copied once when it is complete.
+		if (!this.lengthKnown && !reserve(2L * data.remaining())) {
+			data.position(data.limit());
+			return true;
+		}
+		this.body.append(data);
 		return false;
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
@@ -94,7 +94,7 @@
 			}
 		});
 		Call call = new Call(connection, callTimer, connectTimer);
-		connection.send(HttpSerializer.request(request), request.method().equals("HEAD"), call.endingCall(listener));
+		connection.send(request, call.endingCall(listener));
 		return call;
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/loop/EventLoop.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/loop/EventLoop.java
@@ -212,7 +212,7 @@
 	private void handleReady(SelectionKey key) {
 		runGuarded(() -> {
 			if (key.attachment() instanceof TcpConnection connection) {
-				connection.handleReady(key);
+				handleReady(connection, key);
 			}
 			else if (key.attachment() instanceof Runnable acceptor) {
 				acceptor.run();
@@ -220,6 +220,17 @@
 		});
 	}
 
+	// Memory that runs out while one connection is handled ends that connection only.
+	private void handleReady(TcpConnection connection, SelectionKey key) {
+		try {
+			connection.handleReady(key);
+		}
+		catch (OutOfMemoryError ex) {
+			this.failureHandler.accept(ex);
+			connection.fail(new IOException("out of memory", ex));
+		}
+	}
+
 	private void runPosted() {
 		Runnable task = this.postedTasks.poll();
 		while (task != null) {
@@ -254,7 +265,7 @@
 		try {
 			action.run();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | OutOfMemoryError ex) {
 			this.failureHandler.accept(ex);
 		}
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/loop/TcpConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/loop/TcpConnection.java
@@ -21,6 +21,12 @@
 	 */
 	private static final long LINGER_NANOS = 1_000_000_000L;
 
+	/**
+	 * Maximum number of bytes that one system call writes. The runtime copies them to a
+	 * buffer outside the heap.
+	 */
+	private static final int MAX_WRITE_BYTES = 128 * 1024;
+
 	/** Turns the socket option SO_LINGER off. */
 	private static final int NO_LINGER = -1;
 
@@ -255,14 +261,18 @@
 		try {
 			while (!this.writeQueue.isEmpty()) {
 				ByteBuffer next = this.writeQueue.peek();
-				int count = this.channel.write(next);
+				int offered = Math.min(next.remaining(), MAX_WRITE_BYTES);
+				int count = this.channel.write(next.slice(next.position(), offered));
+				next.position(next.position() + count);
 				this.writtenBytes += count;
 				this.queuedBytes -= count;
-				if (next.hasRemaining()) {
+				if (count < offered) {
 					this.key.interestOps(this.key.interestOps() | SelectionKey.OP_WRITE);
 					return;
 				}
-				this.writeQueue.poll();
+				if (!next.hasRemaining()) {
+					this.writeQueue.poll();
+				}
 			}
 			if ((this.key.interestOps() & SelectionKey.OP_WRITE) != 0) {
 				this.key.interestOps(this.key.interestOps() & ~SelectionKey.OP_WRITE);
