Leave targets alone that leave or ask for a pause

What callers and targets saw: a target that said in its responses that it leaves, or that refused a request and named the time after which it wants the next one, went on getting requests.

Change: TargetAvailability (core) holds what one incarnation of a target stated to one entry instance. A target that leaves gets no request that was received later than drain_s after it said so, and none at once if others can serve; it is reported until the leader has recorded that it drains, so its keys move as after a heartbeat that says so. A target that asks for a pause gets nothing from that entry instance for so long (10 minutes at most): requests, repeats and requests that waited for a permit; callers are refused at once with what is left of the pause, or served by another target. The view names the incarnation, so a restarted target is used again. Events target-leaves and target-pauses, reason TARGET_PAUSED, counter target_notices.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/EntryReport.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/EntryReport.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.redwingramp.core.observation.Observation;
+import org.redwingramp.core.ownership.Owner;
 
 /**
  * Statistics that an entry instance collected since its last report. Immutable and thread
@@ -11,13 +12,27 @@
  * @param targets the response times of targets
  * @param keys the load of keys
  * @param observations what other entry instances need to know
+ * @param leaving the incarnations of targets that said in their responses that they
+ * leave, as long as the view has them as usable
  */
-public record EntryReport(List<TargetUse> targets, List<KeyUse> keys, List<Observation> observations) {
+public record EntryReport(List<TargetUse> targets, List<KeyUse> keys, List<Observation> observations,
+		List<Owner> leaving) {
+
+	/**
+	 * Creates a report of an entry instance to which no target said that it leaves.
+	 * @param targets the response times of targets
+	 * @param keys the load of keys
+	 * @param observations what other entry instances need to know
+	 */
+	public EntryReport(List<TargetUse> targets, List<KeyUse> keys, List<Observation> observations) {
+		this(targets, keys, observations, List.of());
+	}
 
 	public EntryReport {
 		targets = List.copyOf(targets);
 		keys = List.copyOf(keys);
 		observations = List.copyOf(observations);
+		leaving = List.copyOf(leaving);
 	}
 
 	/**
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -250,12 +250,26 @@
 			.forEach((usage) -> this.state.target(usage.target())
 				.ifPresent((target) -> this.observations.responsesReported(target.service(), usage)));
 		report.observations().forEach((observation) -> this.observations.received(observation, now));
+		report.leaving().forEach((owner) -> targetLeaves(entry, owner));
 		report.keys()
 			.stream()
 			.filter((usage) -> usage.key() >= 0 && usage.key() < KeyRange.KEYS)
 			.forEach((usage) -> loadOf(usage.service(), now).add(usage.key(), usage.millis()));
 	}
 
+	// A target that says in its responses that it leaves is treated as one that says so
+	// in
+	// a heartbeat.
+	private void targetLeaves(String entry, Owner owner) {
+		this.state.target(owner).filter((target) -> target.stage() == Stage.SERVING).ifPresent((target) -> {
+			RecordTarget command = new RecordTarget(target.with(Stage.DRAINING));
+			if (!this.pendingCommands.contains(command)) {
+				this.output.decision("target-leaves", "target", target.name(), "born", target.born(), "entry", entry);
+			}
+			proposeIfNotPending(command);
+		});
+	}
+
 	/**
 	 * Reserves a permit to send one request to a target whose request rate is limited.
 	 * @param target the name of the target
@@ -446,7 +460,8 @@
 			.stream()
 			.filter((target) -> target.stage() != Stage.LEFT)
 			.map((target) -> new ViewTarget(target.name(), target.service(), target.address(), target.domain(),
-					target.slots(), usable(target), this.healthByTarget.get(target.name()).coldLeftMillis(now)))
+					target.slots(), usable(target), this.healthByTarget.get(target.name()).coldLeftMillis(now),
+					target.born()))
 			.toList();
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetView.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetView.java
@@ -74,9 +74,11 @@
 	 * @param usable whether new requests may be sent to it
 	 * @param coldLeftMillis the remaining time for which the target is cold, in
 	 * milliseconds, 0 if it is warm
+	 * @param born identifies the incarnation of the target by its start time, 0 if it
+	 * isn't known
 	 */
 	public record ViewTarget(String name, String service, String address, String domain, int slots, boolean usable,
-			long coldLeftMillis) {
+			long coldLeftMillis, long born) {
 	}
 
 	/**
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -11,6 +11,7 @@
 import org.redwingramp.core.fleet.FleetCommand.SetDomainOut;
 import org.redwingramp.core.fleet.FleetTarget.Stage;
 import org.redwingramp.core.ownership.KeyRange;
+import org.redwingramp.core.ownership.Owner;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -48,6 +49,28 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against requests to a target that said only in its responses that it leaves,
+	 * and against a report about a former incarnation that drains the present one.
+	 */
+	@Test
+	void shouldMoveTheKeysOfATargetThatLeavesAsItsResponsesSay() {
+		awaitInitialAssignment();
+		reportLeaving(new Owner("t-1", 0));
+		this.fleet.advance(100);
+		assertThat(this.fleet.state.target("t-1").orElseThrow().stage()).isEqualTo(Stage.SERVING);
+		reportLeaving(new Owner("t-1", 1));
+		reportLeaving(new Owner("t-1", 1));
+		this.fleet.advance(1000);
+		assertThat(this.fleet.owners()).containsExactlyInAnyOrder("t-0", "t-2", "t-3");
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
+	private void reportLeaving(Owner owner) {
+		this.fleet.controller.report("front-1", new EntryReport(List.of(), List.of(), List.of(), List.of(owner)),
+				this.fleet.now);
+	}
+
 	/**
 	 * Guards against a new leader that renews all leases of a large fleet in one tick,
 	 * which delays its heartbeats, and against leases that it then fails to renew.
--- a/redwingramp-node/src/main/java/org/redwingramp/node/api/ResponseFields.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/api/ResponseFields.java
@@ -17,7 +17,11 @@
  * @param coldLeftMillis the remaining time in which the target is cold, if it reports one
  * @param limitPerSecond the requests per second that the target accepts from all entry
  * instances together, if it states a limit
+ * @param leaving whether the target states that it leaves
+ * @param retryAfterMillis the time after which the target wants the next request, if it
+ * states one
  */
 public record ResponseFields(Optional<String> requestId, boolean signed, boolean notRun, boolean encoded,
-		Optional<TargetLoad> load, OptionalLong coldLeftMillis, OptionalDouble limitPerSecond) {
+		Optional<TargetLoad> load, OptionalLong coldLeftMillis, OptionalDouble limitPerSecond, boolean leaving,
+		OptionalLong retryAfterMillis) {
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -21,6 +21,7 @@
 import org.redwingramp.core.observation.Observation;
 import org.redwingramp.core.observation.ObservationKind;
 import org.redwingramp.core.observation.ObservationTable.Observed;
+import org.redwingramp.core.ownership.Owner;
 import org.redwingramp.core.routing.RetryBudget;
 import org.redwingramp.core.routing.RetryBudgets;
 import org.redwingramp.core.traffic.CallerLimits;
@@ -284,10 +285,21 @@
 		this.keyUseMillis.clear();
 		this.unacknowledgedBytes = 0;
 		return new LinkMessage.Report(this.settings.instance(), this.view.term(), this.view.sequence(),
-				new EntryReport(targets, keys, this.observations.drainUnreported(System.nanoTime())),
+				new EntryReport(targets, keys, this.observations.drainUnreported(System.nanoTime()), leavingTargets()),
 				Optional.of(System.nanoTime() / MILLISECOND));
 	}
 
+	// Reported until the leader knows, since the report to a former leader may be lost.
+	private List<Owner> leavingTargets() {
+		List<Owner> leaving = new ArrayList<>();
+		this.view.allTargets().forEach((target) -> {
+			if (target.availability().leaving() && target.view().usable()) {
+				leaving.add(new Owner(target.name(), target.view().born()));
+			}
+		});
+		return leaving;
+	}
+
 	@Override
 	public void received(Link link, LinkMessage message) {
 		if (message instanceof LinkMessage.View update) {
@@ -408,6 +420,28 @@
 		}
 	}
 
+	// Records that a target says that it leaves, and reports it without delay.
+	void targetLeaves(EntryTarget target, String request, long now) {
+		if (target.availability().leaves(now)) {
+			this.events.metrics().count("target_notices", "leaves");
+			this.events.log(NodeEvent.TARGET_LEAVES, "target", target.name(), "born", target.view().born(), "request",
+					request, "view", this.view.sequence(), "control-age", leaderContactAgeMillis(now));
+			this.control.reportNow();
+		}
+	}
+
+	// Records that a target wants no requests of this instance for some time.
+	void targetPauses(EntryTarget target, long millis, String request, long now) {
+		target.availability().pauses(millis, now);
+		this.events.metrics().count("target_notices", "pauses");
+		this.events.log(NodeEvent.TARGET_PAUSES, "target", target.name(), "millis", millis, "left",
+				target.availability().pauseLeftMillis(now), "request", request, "view", this.view.sequence());
+	}
+
+	long drainNanos() {
+		return this.settings.drainNanos();
+	}
+
 	// Returns the rate limit that a target states, if it states one.
 	Optional<Observed> limit(EntryTarget target, long now) {
 		return this.observations.latest(ObservationKind.TARGET_LIMIT, target.name(), now)
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntrySettings.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntrySettings.java
@@ -18,9 +18,10 @@
  * over all entry instances
  * @param graceNanos the time from the stop signal until the process must have ended, in
  * nanoseconds
+ * @param drainNanos how long a target that leaves serves new requests, in nanoseconds
  */
 public record EntrySettings(String instance, String domain, InetSocketAddress listen, InetSocketAddress readiness,
-		int peerPort, List<String> seeds, double retryRatio, int additionalRetries, long graceNanos) {
+		int peerPort, List<String> seeds, double retryRatio, int additionalRetries, long graceNanos, long drainNanos) {
 
 	public EntrySettings {
 		seeds = List.copyOf(seeds);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 import org.redwingramp.core.dispatch.SharedRateLimiter;
+import org.redwingramp.core.dispatch.TargetAvailability;
 import org.redwingramp.core.dispatch.TargetTracker;
 import org.redwingramp.core.fleet.EntryReport;
 import org.redwingramp.core.fleet.FleetView.ViewTarget;
@@ -28,6 +29,8 @@
 
 	private SharedRateLimiter rateShare;
 
+	private final TargetAvailability availability = new TargetAvailability();
+
 	private ViewTarget view;
 
 	private long coldUntilNanos;
@@ -69,6 +72,10 @@
 		return this.tracker;
 	}
 
+	TargetAvailability availability() {
+		return this.availability;
+	}
+
 	boolean cold(long now) {
 		return now < this.coldUntilNanos;
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -208,7 +208,9 @@
 
 	private void addOrUpdate(ViewTarget view, long now) {
 		EntryTarget existing = this.targets.get(view.name());
-		if (existing != null && existing.view().address().equals(view.address())) {
+		boolean sameIncarnation = existing != null && existing.view().address().equals(view.address())
+				&& existing.view().born() == view.born();
+		if (sameIncarnation) {
 			existing.update(view, now);
 			return;
 		}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/Refusal.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/Refusal.java
@@ -42,6 +42,9 @@
 	/** The rate limit that the target states is exhausted. */
 	RATE_LIMITED(503),
 
+	/** The target wants no requests of this entry instance for some time. */
+	TARGET_PAUSED(503),
+
 	/** The target reported that it didn't run the request. */
 	TARGET_REFUSED(503),
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -66,6 +66,8 @@
 
 	private static final int MISDIRECTED_STATUS = 421;
 
+	private static final int UNAVAILABLE_STATUS = 503;
+
 	private static final int MIN_SERVER_ERROR_STATUS = 500;
 
 	private final EntryNode node;
@@ -198,12 +200,19 @@
 			return;
 		}
 		String owner = this.node.view().owner(this.service, key);
-		Optional<EntryTarget> found = this.node.view().target(owner).filter((target) -> target.view().usable());
+		Optional<EntryTarget> found = this.node.view()
+			.target(owner)
+			.filter((target) -> target.view().usable() && !hasLeft(target));
 		boolean refusedTwice = this.refusedBy.indexOf(owner) != this.refusedBy.lastIndexOf(owner);
 		if (found.isEmpty() || refusedTwice) {
 			waitForOwner(now, Long.MAX_VALUE, owner);
 			return;
 		}
+		long pauseLeft = found.get().availability().pauseLeftMillis(now);
+		if (pauseLeft > 0) {
+			refuseOrFail(Refusal.TARGET_PAUSED, pauseLeft);
+			return;
+		}
 		if (found.get().tracker().avoided(now)) {
 			refuseOrFail(Refusal.UNREACHABLE, DEFAULT_RETRY_AFTER_MILLIS);
 			return;
@@ -214,9 +223,14 @@
 	// Sends the request to any usable target of the service. Prefers warm targets to
 	// cold ones, and cold ones to those that are avoided after failures.
 	private void attemptAnyTarget(long now) {
-		List<EntryTarget> usable = this.node.view().targets(this.service);
+		List<EntryTarget> usable = this.node.view()
+			.targets(this.service)
+			.stream()
+			.filter((candidate) -> accepts(candidate, now))
+			.toList();
 		List<EntryTarget> candidates = usable.stream()
-			.filter((candidate) -> !candidate.tracker().avoided(now) && !this.refusedBy.contains(candidate.name()))
+			.filter((candidate) -> !candidate.tracker().avoided(now) && !this.refusedBy.contains(candidate.name())
+					&& !candidate.availability().leaving())
 			.toList();
 		List<EntryTarget> warm = candidates.stream().filter((candidate) -> !candidate.cold(now)).toList();
 		List<EntryTarget> notRefusing = usable.stream()
@@ -224,12 +238,36 @@
 			.toList();
 		List<EntryTarget> chosen = warm.isEmpty() ? (candidates.isEmpty() ? notRefusing : candidates) : warm;
 		if (chosen.isEmpty()) {
-			refuseOrFail(Refusal.NO_TARGET, DEFAULT_RETRY_AFTER_MILLIS);
+			refuseWithoutTarget(now);
 			return;
 		}
 		sendIfAdmitted(this.node.chooseTarget(chosen, now), now);
 	}
 
+	// Returns whether the target accepts this request now, by what it stated before.
+	private boolean accepts(EntryTarget candidate, long now) {
+		return candidate.availability().pauseLeftMillis(now) == 0 && !hasLeft(candidate);
+	}
+
+	private boolean hasLeft(EntryTarget candidate) {
+		return candidate.availability().leftBefore(this.exchange.receivedNanos(), this.node.drainNanos());
+	}
+
+	private void refuseWithoutTarget(long now) {
+		OptionalLong shortestPause = this.node.view()
+			.targets(this.service)
+			.stream()
+			.mapToLong((candidate) -> candidate.availability().pauseLeftMillis(now))
+			.filter((millis) -> millis > 0)
+			.min();
+		if (shortestPause.isPresent()) {
+			refuseOrFail(Refusal.TARGET_PAUSED, shortestPause.getAsLong());
+		}
+		else {
+			refuseOrFail(Refusal.NO_TARGET, DEFAULT_RETRY_AFTER_MILLIS);
+		}
+	}
+
 	// Sends the request to the candidate if it can be served before the deadline and
 	// the rate limit of a cold target allows it; refuses it otherwise.
 	private void sendIfAdmitted(EntryTarget candidate, long now) {
@@ -286,7 +324,7 @@
 			.targets(this.service)
 			.stream()
 			.anyMatch((target) -> !this.refusedBy.contains(target.name()) && !target.tracker().avoided(now)
-					&& rate(target, now).isEmpty());
+					&& accepts(target, now) && rate(target, now).isEmpty());
 	}
 
 	// Sends the request unless its key has another owner by now.
@@ -296,8 +334,8 @@
 		boolean stillOwner = !this.sharded
 				|| this.node.view().owner(this.service, this.fields.key().orElseThrow()).equals(candidate.name());
 		boolean current = this.node.view().target(candidate.name()).filter((target) -> target == candidate).isPresent();
-		if (stillOwner && current && candidate.view().usable() && remainingMillis(now) >= MIN_ATTEMPT_MILLIS
-				&& quarantineLeftMillis(now).isEmpty()) {
+		if (stillOwner && current && candidate.view().usable() && accepts(candidate, now)
+				&& remainingMillis(now) >= MIN_ATTEMPT_MILLIS && quarantineLeftMillis(now).isEmpty()) {
 			send(candidate, now);
 		}
 		else {
@@ -338,6 +376,7 @@
 		responseFields.load().ifPresent((load) -> sender.tracker().loadReported(load.running(), load.waiting(), now));
 		responseFields.coldLeftMillis().ifPresent((millis) -> sender.extendColdTime(millis, now));
 		limitStated(sender, responseFields, now);
+		noticesStated(sender, response.status(), responseFields, now);
 		if (responseFields.notRun() || response.status() == MISDIRECTED_STATUS) {
 			requestNotRun(sender, response.status(), now);
 			return;
@@ -367,6 +406,15 @@
 				this.node.dialect().callerResponse(response), 0);
 	}
 
+	private void noticesStated(EntryTarget sender, int status, ResponseFields responseFields, long now) {
+		if (responseFields.leaving()) {
+			this.node.targetLeaves(sender, requestId(), now);
+		}
+		if (status == UNAVAILABLE_STATUS && responseFields.retryAfterMillis().isPresent()) {
+			this.node.targetPauses(sender, responseFields.retryAfterMillis().getAsLong(), requestId(), now);
+		}
+	}
+
 	// A response without a limit withdraws it only if the target itself produced the
 	// response, and not if the request was sent before the limit was observed.
 	private void limitStated(EntryTarget sender, ResponseFields responseFields, long now) {
@@ -407,10 +455,10 @@
 			return;
 		}
 		double remaining = remainingMillis(now);
-		refuseOrFail(Refusal.TARGET_REFUSED,
-				this.node.admission()
-					.retryAfterMillis(sender.tracker().waitMillis(now) + sender.tracker().serviceMillis(),
-							sender.tracker().serviceMillis(), remaining));
+		long byLoad = this.node.admission()
+			.retryAfterMillis(sender.tracker().waitMillis(now) + sender.tracker().serviceMillis(),
+					sender.tracker().serviceMillis(), remaining);
+		refuseOrFail(Refusal.TARGET_REFUSED, Math.max(byLoad, sender.availability().pauseLeftMillis(now)));
 	}
 
 	private void callFailed(CallFailure failure) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
@@ -92,6 +92,12 @@
 	/** A target in the view isn't used, because no connection can be opened to it. */
 	TARGET_UNUSABLE(7211, true),
 
+	/** A target stated in a response that it leaves. */
+	TARGET_LEAVES(7212, true),
+
+	/** A target stated in a refusal that it wants no requests for some time. */
+	TARGET_PAUSES(7213, true),
+
 	/** This replica's role changed. */
 	ROLE_CHANGED(7301, false),
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
@@ -54,7 +54,7 @@
 	@Override
 	public ResponseFields responseFields(List<Header> headers) {
 		return new ResponseFields(Optional.empty(), false, false, false, Optional.empty(), OptionalLong.empty(),
-				OptionalDouble.empty());
+				OptionalDouble.empty(), false, OptionalLong.empty());
 	}
 
 	@Override
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -23,6 +23,7 @@
 import org.redwingramp.core.fleet.FleetView.ViewTarget;
 import org.redwingramp.core.observation.Observation;
 import org.redwingramp.core.ownership.GrantOutcome;
+import org.redwingramp.core.ownership.Owner;
 import org.redwingramp.node.api.GrantCall;
 import org.redwingramp.node.api.GrantReply;
 import org.redwingramp.node.events.EventWriter;
@@ -39,6 +40,8 @@
 
 	static final long REFUSED_DELAY_MILLIS = 130;
 
+	static final long DRAIN_NANOS = 400_000_000L;
+
 	private static final int READ_TIMEOUT_MILLIS = 3000;
 
 	/**
@@ -69,6 +72,11 @@
 
 	volatile long coldLeftMillis;
 
+	volatile long born = 1;
+
+	// The incarnations that the entry instance reported as leaving.
+	final BlockingQueue<Owner> leaving = new LinkedBlockingQueue<>();
+
 	private long sequence;
 
 	private final EntryNode node;
@@ -85,7 +93,7 @@
 		this.loop.listen(local(peerPort), (tcp) -> Link.accepted(tcp, this::received, (link) -> {
 		}));
 		EntrySettings settings = new EntrySettings("test", "d", local(this.callerPort), local(freePort()), peerPort,
-				List.of("127.0.0.1"), 0.2, 50, graceNanos);
+				List.of("127.0.0.1"), 0.2, 50, graceNanos, DRAIN_NANOS);
 		this.node = EntryNode.start(this.loop, settings, new TestDialect(), this.events);
 		Thread thread = new Thread(this::runLoop, "loop");
 		thread.setDaemon(true);
@@ -122,7 +130,8 @@
 	private void sendView(String service, String owner, List<String> addresses) throws Exception {
 		this.sequence++;
 		List<ViewTarget> list = IntStream.range(0, addresses.size())
-			.mapToObj((i) -> new ViewTarget("t-" + i, service, addresses.get(i), "d", 3, true, this.coldLeftMillis))
+			.mapToObj((i) -> new ViewTarget("t-" + i, service, addresses.get(i), "d", 3, true, this.coldLeftMillis,
+					this.born))
 			.toList();
 		FleetView view = new FleetView(1, this.sequence, 0, 1, this.instances, Optional.of(new byte[] { 1 }), list,
 				List.of(), Map.of("s", List.of(new ViewRange(0, 65_535, owner))), List.of());
@@ -194,6 +203,7 @@
 		}
 		else if (message instanceof LinkMessage.Report report) {
 			this.observations.addAll(report.report().observations());
+			this.leaving.addAll(report.report().leaving());
 			link.send(new LinkMessage.LeaderInfo("127.0.0.1", true, List.of("127.0.0.1")));
 		}
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
@@ -82,7 +82,7 @@
 	@ValueSource(strings = { "127.0.0.1:99999", "127.0.0.1", "host:80", "300.0.0.1:80", "" })
 	void shouldApplyAViewWithoutATargetWhoseAddressIsUnusable(String address) throws Exception {
 		FleetView next = new FleetView(6, 1, 0, 7, 1, Optional.empty(),
-				List.of(target("a"), new ViewTarget("odd", "s", address, "d", 3, true, 0)), List.of(),
+				List.of(target("a"), new ViewTarget("odd", "s", address, "d", 3, true, 0, 0)), List.of(),
 				Map.of("s", List.of(new ViewRange(0, 65_535, "a"))), List.of());
 		assertThat(apply(next)).isEqualTo(Outcome.TAKEN);
 		assertThat(this.view.target("odd")).isEmpty();
@@ -106,7 +106,7 @@
 	}
 
 	private static ViewTarget target(String name) {
-		return new ViewTarget(name, "s", "127.0.0.1:1", "d", 3, true, 0);
+		return new ViewTarget(name, "s", "127.0.0.1:1", "d", 3, true, 0, 0);
 	}
 
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
@@ -64,7 +64,11 @@
 				Header.find(headers, "Not-Run").isPresent(), false, Optional.empty(), OptionalLong.empty(),
 				Header.find(headers, "Limit")
 					.map((value) -> OptionalDouble.of(Double.parseDouble(value)))
-					.orElse(OptionalDouble.empty()));
+					.orElse(OptionalDouble.empty()),
+				Header.find(headers, "Leaving").isPresent(),
+				Header.find(headers, "Pause-Millis")
+					.map((value) -> OptionalLong.of(Long.parseLong(value)))
+					.orElse(OptionalLong.empty()));
 	}
 
 	@Override
