Tell routes apart by host and path prefix

Cause: the round robin and the average response time of a route were kept under its name, which needn't be unique.

Change: Route.location() is the key of both.

Evidence: EntryViewTests.shouldSplitRequestsByTheWeightsOfTheirOwnRoute; on the former code the round robin of the first route would serve the second (read; the test wasn't run there).

--- a/redwingramp-core/src/main/java/org/redwingramp/core/traffic/Route.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/traffic/Route.java
@@ -24,4 +24,13 @@
 		services = List.copyOf(services);
 	}
 
+	/**
+	 * Returns what identifies the route in its configuration. Its name doesn't: several
+	 * routes may have the same.
+	 * @return the host and the path prefix
+	 */
+	public String location() {
+		return this.host + this.pathPrefix;
+	}
+
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -487,12 +487,12 @@
 
 	// Returns the moving average of the response time of a route.
 	double expectedMillis(Route route) {
-		return this.routeMillis.getOrDefault(route.name(), INITIAL_ROUTE_MILLIS);
+		return this.routeMillis.getOrDefault(route.location(), INITIAL_ROUTE_MILLIS);
 	}
 
 	void recordResponseTime(Route route, double elapsedMillis) {
 		double average = expectedMillis(route);
-		this.routeMillis.put(route.name(), average + (elapsedMillis - average) * ROUTE_AVERAGE_WEIGHT);
+		this.routeMillis.put(route.location(), average + (elapsedMillis - average) * ROUTE_AVERAGE_WEIGHT);
 	}
 
 	void recordKeyUse(String service, int key, double millis) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -133,7 +133,7 @@
 		if (route.services().size() == 1) {
 			return route.services().get(0).service();
 		}
-		return this.roundRobins.computeIfAbsent(route.name(), (name) -> new WeightedRoundRobin(route)).next();
+		return this.roundRobins.computeIfAbsent(route.location(), (location) -> new WeightedRoundRobin(route)).next();
 	}
 
 	// Returns the usable targets of a service.
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
@@ -12,6 +12,9 @@
 import org.redwingramp.core.fleet.FleetView;
 import org.redwingramp.core.fleet.FleetView.ViewRange;
 import org.redwingramp.core.fleet.FleetView.ViewTarget;
+import org.redwingramp.core.traffic.RequestKind;
+import org.redwingramp.core.traffic.Route;
+import org.redwingramp.core.traffic.WeightedService;
 import org.redwingramp.node.entry.EntryView.Outcome;
 import org.redwingramp.node.loop.EventLoop;
 
@@ -74,6 +77,25 @@
 		assertThat(this.view.owner("s", 10)).isEmpty();
 	}
 
+	/**
+	 * Guards against requests of a route that run on the services of another route, which
+	 * has the same name and another host.
+	 */
+	@Test
+	void shouldSplitRequestsByTheWeightsOfTheirOwnRoute() {
+		Route first = split("a.example", "x", "y");
+		Route second = split("b.example", "v", "w");
+		assertThat(List.of(this.view.selectService(first), this.view.selectService(first)))
+			.containsExactlyInAnyOrder("x", "y");
+		assertThat(List.of(this.view.selectService(second), this.view.selectService(second)))
+			.containsExactlyInAnyOrder("v", "w");
+	}
+
+	private static Route split(String host, String service, String otherService) {
+		return new Route("r", host, "/", RequestKind.IDEMPOTENT, 1000, 1000, 0, 1,
+				List.of(new WeightedService(service, 1), new WeightedService(otherService, 1)));
+	}
+
 	/**
 	 * Guards against one target with an address that can't be used, after which an entry
 	 * instance applies no view at all.
