Record the departure of a target that isn't known

Cause: a leave call for an unknown name was acknowledged without a record.

Change: the incarnation is recorded as having left; its late heartbeats are acknowledged and change nothing, and a later incarnation joins as usual.

Evidence: FleetControllerTests.shouldNotAddATargetThatLeftBeforeItWasKnown.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -226,6 +226,10 @@
 	 * incarnation isn't current or has already left
 	 */
 	public Optional<FleetCommand> leave(String name, Optional<Long> born) {
+		if (this.state.target(name).isEmpty()) {
+			// A heartbeat that was sent before may arrive later and must not add it.
+			return born.map((start) -> new RecordTarget(new FleetTarget(name, start, "", "", "", 0, Stage.LEFT)));
+		}
 		return this.state.target(name)
 			.filter((target) -> born.isEmpty() || born.get() == target.born())
 			.filter((target) -> target.stage() != Stage.LEFT)
@@ -545,7 +549,7 @@
 	private Set<String> replacedTargets() {
 		Map<String, FleetTarget> newest = new HashMap<>();
 		Set<String> replaced = new HashSet<>();
-		this.state.targets().forEach((target) -> {
+		this.state.targets().stream().filter((target) -> !target.address().isEmpty()).forEach((target) -> {
 			FleetTarget other = newest.get(target.address());
 			if (other != null) {
 				replaced.add((other.born() < target.born()) ? other.name() : target.name());
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/HeartbeatCheck.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/HeartbeatCheck.java
@@ -24,8 +24,9 @@
 			long wallMillis) {
 		Optional<FleetTarget> running = known.filter((target) -> target.born() == described.born());
 		if (running.isPresent()) {
-			boolean same = running.get().service().equals(described.service())
-					&& running.get().address().equals(described.address());
+			boolean same = running.get().stage() == FleetTarget.Stage.LEFT
+					|| running.get().service().equals(described.service())
+							&& running.get().address().equals(described.address());
 			return same ? Optional.empty()
 					: Optional.of("target " + described.name() + " is registered with service "
 							+ running.get().service() + " at " + running.get().address() + " (was "
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -1,6 +1,7 @@
 package org.redwingramp.core.fleet;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -217,6 +218,23 @@
 		assertThat(this.fleet.owners()).doesNotContain("t-1");
 	}
 
+	/**
+	 * Guards against requests to a target whose departure was acknowledged while it
+	 * wasn't known, after a late heartbeat of it.
+	 */
+	@Test
+	void shouldNotAddATargetThatLeftBeforeItWasKnown() {
+		awaitInitialAssignment();
+		this.fleet.controller.leave("t-8", Optional.of(4L)).ifPresent(this.fleet::commit);
+		this.fleet.controller.leave("t-9", Optional.of(5L)).ifPresent(this.fleet::commit);
+		this.fleet.join("t-8", 4, "10.0.0.8:80");
+		this.fleet.join("t-9", 5, "10.0.0.9:80");
+		this.fleet.advance(1000);
+		assertThat(this.fleet.controller.viewTargets(this.fleet.now)).hasSize(4);
+		this.fleet.join("t-9", 6, "10.0.0.9:80");
+		assertThat(this.fleet.state.target("t-9").orElseThrow().stage()).isEqualTo(Stage.SERVING);
+	}
+
 	@Test
 	void shouldMoveAllKeysOutOfADomainThatIsTakenOutOfService() {
 		this.fleet.join("t-long", 1, "10.0.0.9:80");
