Pass on no promise that a target doesn't make

Change: a request that may run once gets 502 then.

Evidence: EntryNodeTests.shouldNotPassOnAPromiseThatTheTargetDoesNotMake; the former code passes the status on (read; not run there).

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.redwingramp.core.observation.Observation;
 import org.redwingramp.core.routing.RetryBudget;
@@ -68,6 +69,9 @@
 
 	private static final int UNAVAILABLE_STATUS = 503;
 
+	/** Statuses which tell a caller that its request was not run. */
+	private static final Set<Integer> PROMISING_STATUSES = Set.of(408, 429, UNAVAILABLE_STATUS);
+
 	private static final int MIN_SERVER_ERROR_STATUS = 500;
 
 	private final EntryNode node;
@@ -402,6 +406,12 @@
 				return;
 			}
 		}
+		if (PROMISING_STATUSES.contains(response.status()) && !this.route.kind().repeatable()) {
+			// The target doesn't say that it didn't run the request, so the caller must
+			// not be told so.
+			fail(Refusal.NO_ANSWER, "status-" + response.status());
+			return;
+		}
 		finish(NodeEvent.REQUEST_ANSWERED, "answer", success ? "answered" : "target-failure",
 				this.node.dialect().callerResponse(response), 0);
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.redwingramp.core.ownership.GrantOutcome;
 
@@ -69,6 +71,21 @@
 		}
 	}
 
+	/**
+	 * Guards against a caller that books again, because it was told that its booking
+	 * wasn't run, although the target doesn't say so.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 408, 429, 503 })
+	void shouldNotPassOnAPromiseThatTheTargetDoesNotMake(int status) throws Exception {
+		String response = "HTTP/1.1 " + status + " Status\r\nId: 1\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n";
+		try (ScriptedTarget target = new ScriptedTarget(response)) {
+			this.entry.sendView("t-0", target);
+			assertThat(book("1")).startsWith("HTTP/1.1 502");
+			assertThat(target.requests).hasSize(1);
+		}
+	}
+
 	@Test
 	void shouldReturnTheResponseOfTheOwner() throws Exception {
 		try (ScriptedTarget target = new ScriptedTarget(ScriptedTarget.response("1", "hello"))) {
