Free the keys of targets whose address another service uses

Cause: a server of another service at a reused address knows no grants and answers 4xx. That counted as an unknown outcome, which prolongs the lease and asks for a higher fence, again and again; the keys of silent targets had no owner any more.

Grants and releases share kept connections again all the same, and a release is tied to its answer by its handover token.

Change: GrantOutcome.REJECTED for 4xx, which prolongs nothing and at a disputed address shows that the earlier process has ended. An unreachable target at a disputed address is sent releases instead of renewals. Refusals of calls are verified on a new connection.

FleetControllerTests and LeaseTableTests have a test each.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/CallDelivery.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/CallDelivery.java
@@ -44,10 +44,11 @@
 	@Override
 	public void maintain(RangeLease lease, FleetTarget target, long now) {
 		TargetHealth health = this.controller.health(target);
-		// Whether the target or another one answers at a disputed address decides on its
-		// keys, so it is called even if it seems unreachable.
-		boolean called = reachable(health, now) || this.controller.addressTaken(target);
-		boolean reachable = called && !(target.stage() == Stage.LEFT && health.lost(now));
+		if (!reachable(health, now) && this.controller.addressTaken(target)) {
+			releaseDisputed(lease, target, now);
+			return;
+		}
+		boolean reachable = reachable(health, now) && !(target.stage() == Stage.LEFT && health.lost(now));
 		if (!reachable || lease.callInFlight()) {
 			return;
 		}
@@ -67,6 +68,14 @@
 		}
 	}
 
+	// Another target states the address of an unreachable one. Whoever answers there, a
+	// release soon shows that the keys are free, and it can't prolong the lease.
+	private void releaseDisputed(RangeLease lease, FleetTarget target, long now) {
+		if (!lease.callInFlight() && (lease.granted() || this.leases.releaseDue(lease, now))) {
+			release(lease, target, now);
+		}
+	}
+
 	@Override
 	public void release(RangeLease lease, FleetTarget target, long now) {
 		this.controller.viewChanged();
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -376,9 +376,7 @@
 		boolean serving = lease.serving();
 		this.leases.grantReturned(lease, outcome, now);
 		recordCall(lease, outcome == GrantOutcome.CONFIRMED || outcome == GrantOutcome.HIGHER_FENCE_SEEN, now);
-		if (outcome == GrantOutcome.OTHER_TARGET) {
-			proposeIfNotPending(new ForgetTarget(lease.range().owner()));
-		}
+		forgetIfReplaced(lease.range().owner(), outcome);
 		if (serving != lease.serving()) {
 			this.viewChanges++;
 		}
@@ -398,15 +396,24 @@
 	 */
 	public void releaseReturned(RangeLease lease, GrantOutcome outcome, Optional<String> handover, long now) {
 		boolean answered = outcome == GrantOutcome.CONFIRMED;
-		if (outcome == GrantOutcome.OTHER_TARGET) {
-			proposeIfNotPending(new ForgetTarget(lease.range().owner()));
-		}
+		forgetIfReplaced(lease.range().owner(), outcome);
 		this.leases.releaseReturned(lease, answered, handover);
 		recordCall(lease, answered, now);
 		this.output.decision("release", "service", lease.service(), "keys", format(lease.range().keys()), "target",
 				lease.range().owner().target(), "fence", lease.range().fence(), "answered", answered);
 	}
 
+	// Forgets a target at whose address another one answers. A rejected call alone
+	// doesn't
+	// show that; at an address that another target states it does.
+	private void forgetIfReplaced(Owner owner, GrantOutcome outcome) {
+		boolean replaced = outcome == GrantOutcome.OTHER_TARGET || (outcome == GrantOutcome.REJECTED
+				&& this.state.target(owner).filter(this::addressTaken).isPresent());
+		if (replaced) {
+			proposeIfNotPending(new ForgetTarget(owner));
+		}
+	}
+
 	/**
 	 * Runs one round of periodic work: removes lost targets, sends due grants and
 	 * releases, assigns ranges without an owner and balances the load.
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/GrantOutcome.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/GrantOutcome.java
@@ -14,6 +14,12 @@
 	/** A different target replied at the address, so the intended one has ended. */
 	OTHER_TARGET,
 
+	/**
+	 * The server at the address replied that it doesn't take the call, for example
+	 * because its service has no keys.
+	 */
+	REJECTED,
+
 	/** No connection could be established, so the grant was not sent. */
 	NOT_SENT,
 
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
@@ -40,6 +40,8 @@
 
 	final Set<String> replaced = new HashSet<>();
 
+	private final Set<String> replacedByOtherService = new HashSet<>();
+
 	final List<String> decisions = new ArrayList<>();
 
 	final List<FleetCommand> commands = new ArrayList<>();
@@ -87,6 +89,13 @@
 		this.heldRanges.remove(name);
 	}
 
+	// Stops the target; a server that takes no grants answers at its address from now on.
+	void replaceByOtherService(String name) {
+		this.unresponsive.add(name);
+		this.replacedByOtherService.add(name);
+		this.heldRanges.remove(name);
+	}
+
 	void sendHeartbeat(FleetTarget target, long coldMillis) {
 		this.coldUntilNanos.put(target.name(), this.now + coldMillis * MS);
 		long sequence = this.sequences.merge(target.name() + target.born(), 1L, Long::sum);
@@ -213,6 +222,9 @@
 		if (this.replaced.contains(target.name())) {
 			return GrantOutcome.OTHER_TARGET;
 		}
+		if (this.replacedByOtherService.contains(target.name())) {
+			return GrantOutcome.REJECTED;
+		}
 		boolean partitioned = this.partitionedFromControl.contains(target.name()) && via.isEmpty();
 		return (this.unresponsive.contains(target.name()) || partitioned) ? GrantOutcome.UNKNOWN
 				: GrantOutcome.CONFIRMED;
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -172,6 +172,23 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against keys of a silent target that no other one gets: a server of another
+	 * service runs at its address, rejects its renewals and so seems to prolong its
+	 * leases.
+	 */
+	@Test
+	void shouldReassignKeysOnceAServerOfAnotherServiceAnswersAtTheAddress() {
+		awaitInitialAssignment();
+		this.fleet.unresponsive.add("t-1");
+		this.fleet.advance(2000);
+		this.fleet.replaceByOtherService("t-1");
+		this.fleet.join("t-9", 9, "10.0.0.1:80");
+		this.fleet.advance(900);
+		assertThat(this.fleet.state.target("t-1")).isEmpty();
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
 	/**
 	 * Guards against a draining target that is acknowledged but not recorded because
 	 * another heartbeat states its address.
--- a/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
@@ -119,6 +119,20 @@
 		assertThat(lease.endNanos()).isEqualTo(LeaseTiming.DEFAULT.endOf(START));
 	}
 
+	/**
+	 * Guards against keys that stay with a silent target because another server at its
+	 * address rejects the renewals.
+	 */
+	@Test
+	void shouldNotExtendALeaseByAGrantThatWasRejected() {
+		RangeLease lease = confirmedLease();
+		long later = START + 1000 * MS;
+		this.table.grantSent(lease, later);
+		this.table.grantReturned(lease, GrantOutcome.REJECTED, later + MS);
+		assertThat(lease.endNanos()).isEqualTo(LeaseTiming.DEFAULT.endOf(START));
+		assertThat(lease.lateGrantPossible(later + MS)).isFalse();
+	}
+
 	/**
 	 * Guards against keys that no target serves, or that are assigned to another target
 	 * too early, while adjacent ranges of one owner are merged under a new fence.
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -18,6 +19,7 @@
 import org.redwingramp.node.api.PlatformDialect;
 import org.redwingramp.node.http.CallFailure;
 import org.redwingramp.node.http.ClientListener;
+import org.redwingramp.node.http.HttpRequest;
 import org.redwingramp.node.http.HttpResponse;
 import org.redwingramp.node.http.ResponseMatch;
 import org.redwingramp.node.http.ResponseMemoryLimit;
@@ -27,15 +29,17 @@
 
 /**
  * Sends grants and releases of key ranges to targets. Grants to one target are sent
- * sequentially, so that its renewals share a connection. A release isn't queued, since
- * its response may take as long as a running request.
+ * sequentially, so that they share a connection: a target at its limit of connections
+ * resets new ones. A release isn't queued, since its response may take as long as a
+ * running request.
  *
  * <p>
  * Responses to these calls bear no identifier, and a target may send a response twice.
- * Invariant: a response that decides who holds keys comes from a connection on which no
- * other call was sent before. Only the confirmation of a renewal is taken from a kept
- * connection, since a wrong one merely prolongs the lease. Not thread safe; confined to
- * the event loop's thread.
+ * Invariants: a release is confirmed only by a handover token that no earlier response
+ * contained, or by the only response of its connection; a refusal of a call is verified
+ * on a new connection. A wrong confirmation of a grant merely prolongs the lease, and the
+ * target refuses requests for keys that it doesn't hold. Not thread safe; confined to the
+ * event loop's thread.
  */
 public final class TargetCalls {
 
@@ -60,8 +64,11 @@
 	 */
 	public static final long MAX_QUEUED_MILLIS = (LeaseTiming.MAX_ARRIVAL_NANOS - GRANT_TIMEOUT_NANOS) / MILLISECOND;
 
-	/** Maximum number of confirmed grants that are remembered for each target. */
-	private static final int MAX_CONFIRMED_GRANTS = 64;
+	private static final Set<GrantOutcome> REFUSALS = EnumSet.of(GrantOutcome.OTHER_TARGET,
+			GrantOutcome.HIGHER_FENCE_SEEN, GrantOutcome.REJECTED);
+
+	/** Maximum number of handover tokens that are remembered for each target. */
+	private static final int MAX_HANDOVERS = 64;
 
 	private final EventLoop loop;
 
@@ -113,7 +120,8 @@
 		TargetQueue target = this.queuesByAddress.computeIfAbsent(address,
 				(key) -> new TargetQueue(new TargetConnections(this.loop, parsed.get(), this.responseMemory)));
 		if (call.release()) {
-			exchangeOnNewConnection(target, call, RELEASE_TIMEOUT_NANOS, reply);
+			exchange(target, new QueuedGrant(call, System.currentTimeMillis(), maxQueuedMillis, reply),
+					RELEASE_TIMEOUT_NANOS, reply);
 		}
 		else {
 			target.waitingGrants.add(new QueuedGrant(call, System.currentTimeMillis(), maxQueuedMillis, reply));
@@ -138,76 +146,66 @@
 			sendNextGrant(target);
 			grant.reply().accept(grantReply);
 		};
-		if (target.confirmed.contains(KeyGrant.of(grant.call()))) {
-			renew(target, grant, returned);
-		}
-		else {
-			exchangeOnNewConnection(target, grant.call(), GRANT_TIMEOUT_NANOS, returned);
-		}
+		exchange(target, grant, GRANT_TIMEOUT_NANOS, returned);
 	}
 
-	// A refusal on a kept connection may be a copy, so it is verified if there is time.
-	private void renew(TargetQueue target, QueuedGrant grant, Consumer<GrantReply> reply) {
+	// A refusal may be a copy of an earlier one, so it is verified if there is time.
+	private void exchange(TargetQueue target, QueuedGrant grant, long timeoutNanos, Consumer<GrantReply> reply) {
 		GrantCall call = grant.call();
-		Listener listener = new Listener(call, true, (grantReply) -> {
-			boolean refused = grantReply.outcome() == GrantOutcome.OTHER_TARGET
-					|| grantReply.outcome() == GrantOutcome.HIGHER_FENCE_SEEN;
+		HttpRequest request = this.dialect.grantRequest(call);
+		target.connections.send(request, timeoutNanos, new Listener(target, call, (grantReply) -> {
+			boolean refused = REFUSALS.contains(grantReply.outcome());
 			if (refused && grant.expired()) {
 				reply.accept(GrantReply.UNKNOWN);
 			}
 			else if (refused) {
-				target.confirmed.remove(KeyGrant.of(call));
-				exchangeOnNewConnection(target, call, GRANT_TIMEOUT_NANOS, reply);
+				target.connections.sendOnNewConnection(request, timeoutNanos, new Listener(target, call, reply));
 			}
 			else {
 				reply.accept(grantReply);
 			}
-		});
-		target.connections.send(this.dialect.grantRequest(call), GRANT_TIMEOUT_NANOS, listener);
-	}
-
-	private void exchangeOnNewConnection(TargetQueue target, GrantCall call, long timeoutNanos,
-			Consumer<GrantReply> reply) {
-		Listener listener = new Listener(call, false, (grantReply) -> {
-			if (!call.release() && grantReply.outcome() == GrantOutcome.CONFIRMED) {
-				target.rememberConfirmed(call);
-			}
-			reply.accept(grantReply);
-		});
-		target.connections.sendOnNewConnection(this.dialect.grantRequest(call), timeoutNanos, listener);
+		}));
 	}
 
 	/** Receives the outcome of one call. */
 	private final class Listener implements ClientListener {
 
-		private final GrantCall call;
+		private final TargetQueue target;
 
-		private final boolean renewal;
+		private final GrantCall call;
 
 		private final Consumer<GrantReply> reply;
 
-		Listener(GrantCall call, boolean renewal, Consumer<GrantReply> reply) {
+		Listener(TargetQueue target, GrantCall call, Consumer<GrantReply> reply) {
+			this.target = target;
 			this.call = call;
-			this.renewal = renewal;
 			this.reply = reply;
 		}
 
-		// Calls bear no identifier, so a response with one belongs to a request. A
-		// connection is kept only after confirmed grants.
+		// A response with an identifier belongs to a request, one with a handover to a
+		// release.
 		@Override
 		public ResponseMatch match(HttpResponse response) {
 			if (TargetCalls.this.dialect.responseFields(response.headers()).requestId().isPresent()) {
 				return ResponseMatch.OTHER;
 			}
-			boolean confirmed = TargetCalls.this.dialect.grantReply(this.call, response)
-				.outcome() == GrantOutcome.CONFIRMED;
-			return (this.renewal || (confirmed && !this.call.release())) ? ResponseMatch.OWN
-					: ResponseMatch.UNIDENTIFIED;
+			GrantReply candidate = TargetCalls.this.dialect.grantReply(this.call, response);
+			if (!this.call.release()) {
+				return candidate.handover().isEmpty() ? ResponseMatch.OWN : ResponseMatch.OTHER;
+			}
+			if (candidate.outcome() != GrantOutcome.CONFIRMED) {
+				return ResponseMatch.OWN;
+			}
+			return candidate.handover()
+				.map((token) -> this.target.handovers.contains(token) ? ResponseMatch.OTHER : ResponseMatch.OWN)
+				.orElse(ResponseMatch.UNIDENTIFIED);
 		}
 
 		@Override
 		public void answered(HttpResponse response) {
-			this.reply.accept(TargetCalls.this.dialect.grantReply(this.call, response));
+			GrantReply received = TargetCalls.this.dialect.grantReply(this.call, response);
+			received.handover().ifPresent(this.target::rememberHandover);
+			this.reply.accept(received);
 		}
 
 		@Override
@@ -217,22 +215,6 @@
 
 	}
 
-	/**
-	 * What a grant has in common with its renewals.
-	 *
-	 * @param target the name of the target
-	 * @param first the first key
-	 * @param last the last key
-	 * @param fence the fencing token
-	 */
-	private record KeyGrant(String target, int first, int last, long fence) {
-
-		static KeyGrant of(GrantCall call) {
-			return new KeyGrant(call.target(), call.first(), call.last(), call.fence());
-		}
-
-	}
-
 	/**
 	 * A grant that waits for earlier grants to the same target.
 	 *
@@ -259,8 +241,8 @@
 
 		private final Deque<QueuedGrant> waitingGrants = new ArrayDeque<>();
 
-		// Grants that the target confirmed; the same call again is a renewal.
-		private final Set<KeyGrant> confirmed = new LinkedHashSet<>();
+		// The latest handover tokens that the target returned.
+		private final Set<String> handovers = new LinkedHashSet<>();
 
 		private boolean grantInFlight;
 
@@ -268,11 +250,11 @@
 			this.connections = connections;
 		}
 
-		private void rememberConfirmed(GrantCall call) {
-			if (this.confirmed.size() >= MAX_CONFIRMED_GRANTS) {
-				this.confirmed.remove(this.confirmed.iterator().next());
+		private void rememberHandover(String token) {
+			if (this.handovers.size() >= MAX_HANDOVERS) {
+				this.handovers.remove(this.handovers.iterator().next());
 			}
-			this.confirmed.add(KeyGrant.of(call));
+			this.handovers.add(token);
 		}
 
 	}
