Verify refused grants only as the leader

A refusal of a grant is verified by sending the grant again. Like each grant it must not be sent after the loss of the leadership. Found on reading the diff; some comments are reworded.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -261,9 +261,8 @@
 			.forEach((usage) -> loadOf(usage.service(), now).add(usage.key(), usage.millis()));
 	}
 
-	// A target that says in its responses that it leaves is treated as one that says so
-	// in
-	// a heartbeat.
+	// Treats a target that says in its responses that it leaves like one that says so
+	// in a heartbeat.
 	private void targetLeaves(String entry, Owner owner) {
 		this.state.target(owner).filter((target) -> target.stage() == Stage.SERVING).ifPresent((target) -> {
 			RecordTarget command = new RecordTarget(target.with(Stage.DRAINING));
@@ -403,9 +402,8 @@
 				lease.range().owner().target(), "fence", lease.range().fence(), "answered", answered);
 	}
 
-	// Forgets a target at whose address another one answers. A rejected call alone
-	// doesn't
-	// show that; at an address that another target states it does.
+	// Forgets a target at whose address another one answers. A rejected call shows that
+	// only at an address that another target states.
 	private void forgetIfReplaced(Owner owner, GrantOutcome outcome) {
 		boolean replaced = outcome == GrantOutcome.OTHER_TARGET || (outcome == GrantOutcome.REJECTED
 				&& this.state.target(owner).filter(this::addressTaken).isPresent());
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
@@ -36,9 +36,8 @@
 	// Whether the entry instance was last logged as being behind.
 	boolean behind;
 
-	// The numbers must be unique among all sessions on the link: a reply to a relayed
-	// call
-	// may arrive after the session in which the call was sent.
+	// The numbers must be unique among all sessions on the link: a reply may arrive after
+	// the session in which its call was sent.
 	EntrySession(Link link, String name, long configVersion, LongSupplier relayNumbers) {
 		this.link = link;
 		this.name = name;
@@ -74,9 +73,8 @@
 	}
 
 	// Returns until when the entry instance may relay a call, on its own clock. The
-	// report
-	// took some time to arrive, so its clock is ahead of what is assumed here, and the
-	// limit is never too late.
+	// report took some time to arrive, so the clock is ahead of what is assumed here and
+	// the limit is never too late.
 	private Optional<Long> relayEndMillis(long now) {
 		return this.reportedClockMillis.map((clock) -> clock
 				+ TimeUnit.NANOSECONDS.toMillis(now - this.clockReportedNanos) + TargetCalls.MAX_QUEUED_MILLIS);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -149,13 +149,14 @@
 		exchange(target, grant, GRANT_TIMEOUT_NANOS, returned);
 	}
 
-	// A refusal may be a copy of an earlier one, so it is verified if there is time.
+	// A refusal may be a copy of an earlier one, so it is verified while a call may still
+	// be sent.
 	private void exchange(TargetQueue target, QueuedGrant grant, long timeoutNanos, Consumer<GrantReply> reply) {
 		GrantCall call = grant.call();
 		HttpRequest request = this.dialect.grantRequest(call);
 		target.connections.send(request, timeoutNanos, new Listener(target, call, (grantReply) -> {
 			boolean refused = REFUSALS.contains(grantReply.outcome());
-			if (refused && grant.expired()) {
+			if (refused && (grant.expired() || !this.mayGrant.getAsBoolean())) {
 				reply.accept(GrantReply.UNKNOWN);
 			}
 			else if (refused) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -125,9 +125,8 @@
 
 	private boolean stopping;
 
-	// When a process that is stopping takes no more requests that it can't finish, and
-	// when
-	// it stops at the latest.
+	// From when a process that is stopping takes no more requests that it can't finish,
+	// and when it stops at the latest.
 	private long lastDrainNanos;
 
 	private long latestStopNanos;
