--- a/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/CrashSuspectsTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/CrashSuspectsTests.java
@@ -65,6 +65,20 @@
 		}
 	}
 
+	// Guards against a request that is refused after a single crash, because two
+	// instances
+	// had connections to the target and both observed it.
+	@Test
+	void shouldCountACrashOnceThatTwoInstancesObserve() {
+		EntryObservations first = new EntryObservations();
+		EntryObservations second = new EntryObservations();
+		assertThat(new CrashSuspects(first).crashed(DEADLY, 1000 * MS)).isEqualTo(1);
+		second.received(first.drainUnreported(1050 * MS), 1100 * MS);
+		CrashSuspects suspects = new CrashSuspects(second);
+		assertThat(suspects.crashed(DEADLY, 1200 * MS)).isEqualTo(1);
+		assertThat(suspects.quarantineLeftMillis(DEADLY, 1200 * MS)).isEmpty();
+	}
+
 	// Guards against a new leader that starts without evidence.
 	@Test
 	void shouldRememberAcrossLeaderChanges() {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -132,6 +132,22 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against a new leader that assigns keys at once which its predecessor took
+	 * from a target that still holds them.
+	 */
+	@Test
+	void shouldNotAssignKeysWithoutAnOwnerBeforeTheLeasesOfTheFormerLeaderHaveEnded() {
+		awaitInitialAssignment();
+		this.fleet.partitionedFromControl.add("t-1");
+		this.fleet.commit(new FleetCommand.ForgetTarget(new Owner("t-1", 1)));
+		this.fleet.startLeadership();
+		this.fleet.advance(2500);
+		assertThat(this.fleet.servedKeys()).isLessThan(KeyRange.KEYS);
+		this.fleet.advance(3500);
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
 	/**
 	 * Guards against a program that isn't a target of the fleet and takes the keys of a
 	 * running target by stating its address.
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/TargetLimitTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/TargetLimitTests.java
@@ -85,6 +85,18 @@
 		assertThat(this.fleet.controller.viewObservations()).extracting("value").containsExactly(Observation.NONE);
 	}
 
+	// Guards against a restarted target that is held to a limit which only its former
+	// incarnation stated, and which the leader hears of only now.
+	@Test
+	void shouldIgnoreALimitThatWasObservedBeforeTheTargetJoined() {
+		this.fleet.join(LIMITED, 2, "10.0.0.1:80");
+		this.fleet.advance(100);
+		state(LIMIT, 300);
+		assertThat(this.fleet.controller.viewObservations()).isEmpty();
+		state(LIMIT, 20);
+		assertThat(this.fleet.controller.viewObservations()).hasSize(1);
+	}
+
 	// Guards against observations of targets that were never heard of, which could fill
 	// the table.
 	@Test
