Look up the latest start at an address once for all targets

Cause: whether a target may receive keys was answered, for each target, by a scan of all targets for one that started later at the same address. A plan over n targets compared n * n pairs.

Change: the plan computes the latest start of each address once and compares each target with it. Admission of heartbeats still asks for a single target and keeps the scan.

Result: no change of behaviour intended. The saved time wasn't measured.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -748,9 +748,13 @@
 
 	private List<Bin> bins(String service, long now, List<RangeLease> without) {
 		KeyLoad load = loadOf(service, now);
+		Map<String, Long> latestStarts = this.state.targets()
+			.stream()
+			.collect(Collectors.toMap(FleetTarget::address, FleetTarget::born, Math::max));
 		return this.state.targets()
 			.stream()
-			.filter((target) -> target.service().equals(service) && mayReceiveKeys(target, now))
+			.filter((target) -> target.service().equals(service) && mayReceiveKeys(target, now)
+					&& target.born() == latestStarts.get(target.address()))
 			.map((target) -> new Bin(target.owner(), this.observations.capacity(target, now),
 					rangesOf(service, target.owner(), without), load))
 			.toList();
@@ -772,8 +776,8 @@
 
 	private boolean mayReceiveKeys(FleetTarget target, long now) {
 		TargetHealth health = health(target);
-		return mayKeepKeys(target) && !addressTaken(target) && !health.cold(now)
-				&& delivery(target.service()).reachable(health, now) && !health.lost(now);
+		return mayKeepKeys(target) && !health.cold(now) && delivery(target.service()).reachable(health, now)
+				&& !health.lost(now);
 	}
 
 	private boolean usable(FleetTarget target) {
