Limit the memory for requests and responses by one class

Cause: RequestMemoryLimit repeated ResponseMemoryLimit: a shared limit that small bodies may exceed, the same reservation and the same release.

Change: BodyMemoryLimit serves both. Its factories name the three uses and hold the limits, which are as before.

Result: no change of behaviour intended; the tests differ in the class name only.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -17,12 +17,12 @@
 import org.redwingramp.node.api.GrantCall;
 import org.redwingramp.node.api.GrantReply;
 import org.redwingramp.node.api.PlatformDialect;
+import org.redwingramp.node.http.BodyMemoryLimit;
 import org.redwingramp.node.http.CallFailure;
 import org.redwingramp.node.http.ClientListener;
 import org.redwingramp.node.http.HttpRequest;
 import org.redwingramp.node.http.HttpResponse;
 import org.redwingramp.node.http.ResponseMatch;
-import org.redwingramp.node.http.ResponseMemoryLimit;
 import org.redwingramp.node.http.TargetAddress;
 import org.redwingramp.node.http.TargetConnections;
 import org.redwingramp.node.loop.EventLoop;
@@ -76,7 +76,7 @@
 
 	private final BooleanSupplier mayGrant;
 
-	private final ResponseMemoryLimit responseMemory = ResponseMemoryLimit.forInternalCalls();
+	private final BodyMemoryLimit responseMemory = BodyMemoryLimit.forInternalCalls();
 
 	private final Map<String, TargetQueue> queuesByAddress = new HashMap<>();
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -34,13 +34,13 @@
 import org.redwingramp.node.events.EventWriter;
 import org.redwingramp.node.events.NodeEvent;
 import org.redwingramp.node.events.NodeMetrics;
+import org.redwingramp.node.http.BodyMemoryLimit;
 import org.redwingramp.node.http.Header;
 import org.redwingramp.node.http.HttpExchange;
 import org.redwingramp.node.http.HttpLimits;
 import org.redwingramp.node.http.HttpRequest;
 import org.redwingramp.node.http.HttpResponse;
 import org.redwingramp.node.http.HttpServer;
-import org.redwingramp.node.http.RequestMemoryLimit;
 import org.redwingramp.node.link.Link;
 import org.redwingramp.node.link.LinkMessage;
 import org.redwingramp.node.link.LinkWarmup;
@@ -105,7 +105,7 @@
 
 	private final EntryObservations observations = new EntryObservations();
 
-	private final RequestMemoryLimit requestMemory = RequestMemoryLimit.ofHeap();
+	private final BodyMemoryLimit requestMemory = BodyMemoryLimit.forRequests();
 
 	private final RatePermits permits;
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -20,7 +20,7 @@
 import org.redwingramp.core.traffic.WeightedRoundRobin;
 import org.redwingramp.node.api.InvalidDocumentException;
 import org.redwingramp.node.api.PlatformDialect;
-import org.redwingramp.node.http.ResponseMemoryLimit;
+import org.redwingramp.node.http.BodyMemoryLimit;
 import org.redwingramp.node.http.TargetAddress;
 import org.redwingramp.node.http.TargetConnections;
 import org.redwingramp.node.link.PackedDocument;
@@ -49,7 +49,7 @@
 
 	private final PlatformDialect dialect;
 
-	private final ResponseMemoryLimit responseMemory = ResponseMemoryLimit.forTargetResponses();
+	private final BodyMemoryLimit responseMemory = BodyMemoryLimit.forTargetResponses();
 
 	private final Map<String, EntryTarget> targets = new HashMap<>();
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
@@ -59,7 +59,7 @@
 
 	private final HttpParser parser = new HttpParser(this, MAX_HEADER_BYTES, HttpCompliance.RFC9110);
 
-	private final ResponseMemoryLimit memory;
+	private final BodyMemoryLimit memory;
 
 	private final BodyBuffer body = new BodyBuffer();
 
@@ -94,7 +94,7 @@
 
 	private long writtenBytesBeforeCall;
 
-	ClientConnection(EventLoop loop, InetSocketAddress address, TargetConnections owner, ResponseMemoryLimit memory) {
+	ClientConnection(EventLoop loop, InetSocketAddress address, TargetConnections owner, BodyMemoryLimit memory) {
 		this.owner = owner;
 		this.memory = memory;
 		this.tcp = loop.connect(address, (connection) -> {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
@@ -27,14 +27,14 @@
 
 	private final HttpHandler handler;
 
-	private final RequestMemoryLimit memory;
+	private final BodyMemoryLimit memory;
 
 	private BodyRefusedListener bodyRefusedListener = (target, headers, bytes) -> {
 	};
 
 	private boolean draining;
 
-	private HttpServer(Supplier<HttpLimits> limits, HttpHandler handler, RequestMemoryLimit memory) {
+	private HttpServer(Supplier<HttpLimits> limits, HttpHandler handler, BodyMemoryLimit memory) {
 		this.limits = limits;
 		this.handler = handler;
 		this.memory = memory;
@@ -52,7 +52,7 @@
 	 */
 	public static HttpServer start(EventLoop loop, InetSocketAddress address, Supplier<HttpLimits> limits,
 			HttpHandler handler) throws IOException {
-		return start(loop, address, limits, handler, RequestMemoryLimit.ofHeap());
+		return start(loop, address, limits, handler, BodyMemoryLimit.forRequests());
 	}
 
 	/**
@@ -66,7 +66,7 @@
 	 * @throws IOException if the address can't be bound
 	 */
 	public static HttpServer start(EventLoop loop, InetSocketAddress address, Supplier<HttpLimits> limits,
-			HttpHandler handler, RequestMemoryLimit memory) throws IOException {
+			HttpHandler handler, BodyMemoryLimit memory) throws IOException {
 		HttpServer server = new HttpServer(limits, handler, memory);
 		server.accept(loop, loop.bind(address));
 		return server;
@@ -80,7 +80,7 @@
 	 * @return the server
 	 */
 	public static HttpServer create(Supplier<HttpLimits> limits, HttpHandler handler) {
-		return new HttpServer(limits, handler, RequestMemoryLimit.ofHeap());
+		return new HttpServer(limits, handler, BodyMemoryLimit.forRequests());
 	}
 
 	/**
@@ -140,7 +140,7 @@
 		return this.connections.size();
 	}
 
-	RequestMemoryLimit memory() {
+	BodyMemoryLimit memory() {
 		return this.memory;
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
@@ -29,7 +29,7 @@
 
 	private final InetSocketAddress address;
 
-	private final ResponseMemoryLimit memory;
+	private final BodyMemoryLimit memory;
 
 	private final Deque<ClientConnection> idle = new ArrayDeque<>();
 
@@ -43,7 +43,7 @@
 	 * @param address the target's address
 	 * @param memory limits the memory for incomplete responses
 	 */
-	public TargetConnections(EventLoop loop, InetSocketAddress address, ResponseMemoryLimit memory) {
+	public TargetConnections(EventLoop loop, InetSocketAddress address, BodyMemoryLimit memory) {
 		this.loop = loop;
 		this.address = address;
 		this.memory = memory;
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/AbandonedCallTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/AbandonedCallTests.java
@@ -125,7 +125,7 @@
 
 	private TargetConnections connections(ServerSocket target) {
 		return new TargetConnections(this.loop, (InetSocketAddress) target.getLocalSocketAddress(),
-				ResponseMemoryLimit.forTargetResponses());
+				BodyMemoryLimit.forTargetResponses());
 	}
 
 	private static HttpRequest request() {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessResponseTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessResponseTests.java
@@ -44,7 +44,7 @@
 	/** Half of the heap of an entry instance. */
 	private static final long MAX_INCOMPLETE_RESPONSE_BYTES = 48L * 1024 * 1024;
 
-	private final ResponseMemoryLimit memory = ResponseMemoryLimit.forTargetResponses();
+	private final BodyMemoryLimit memory = BodyMemoryLimit.forTargetResponses();
 
 	private EventLoop loop;
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/RequestMemoryTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/RequestMemoryTests.java
@@ -33,7 +33,7 @@
 
 	private static final HttpLimits LIMITS = new HttpLimits(16_384, 64 * MEBIBYTE, 3_000_000_000L, 15_000_000_000L);
 
-	private final RequestMemoryLimit memory = new RequestMemoryLimit(3 * MEBIBYTE);
+	private final BodyMemoryLimit memory = BodyMemoryLimit.forRequests(3 * MEBIBYTE);
 
 	private final BlockingQueue<HttpExchange> exchanges = new LinkedBlockingQueue<>();
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/TruncatedResponseTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/TruncatedResponseTests.java
@@ -84,7 +84,7 @@
 			CompletableFuture<Object> outcome = new CompletableFuture<>();
 			HttpRequest request = new HttpRequest("GET", "/", List.of(new Header("Host", "h")), new byte[0]);
 			InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
-			this.loop.post(() -> new TargetConnections(this.loop, address, ResponseMemoryLimit.forTargetResponses())
+			this.loop.post(() -> new TargetConnections(this.loop, address, BodyMemoryLimit.forTargetResponses())
 				.send(request, CALL_TIMEOUT_NANOS, new RecordingListener(outcome)));
 			return outcome.get();
 		}
