Share the loop thread and the recorder of outcomes between tests

Cause: five tests and two fixtures each started a thread for their event loop, three recorded the outcome of a call, three read state from the loop's thread, and RepeatingTarget repeated the reading and threads of ScriptedTarget.

Change: LoopThread and OutcomeRecorder; RepeatingTarget calls ScriptedTarget. Assertions and bounds are unchanged.

--- a/redwingramp-node/src/test/java/org/redwingramp/node/RepeatingTarget.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/RepeatingTarget.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.redwingramp.node.entry.ScriptedTarget;
+
 /**
  * A faulty target: on each connection, it writes its previous response once more where
  * the response to the next call is due. It answers calls with the steps of a script, over
@@ -45,7 +47,7 @@
 	private RepeatingTarget(boolean repeats, String... responses) throws IOException {
 		this.repeats = repeats;
 		this.script.addAll(List.of(responses));
-		start(this::accept);
+		ScriptedTarget.start(this::accept);
 	}
 
 	/**
@@ -76,7 +78,7 @@
 			while (true) {
 				Socket socket = this.server.accept();
 				this.connections.incrementAndGet();
-				start(() -> serve(socket));
+				ScriptedTarget.start(() -> serve(socket));
 			}
 		}
 		catch (IOException ex) {
@@ -88,8 +90,8 @@
 		try (socket) {
 			OutputStream output = socket.getOutputStream();
 			String previous = "";
-			for (String head = readHead(socket.getInputStream()); !head
-				.isEmpty(); head = readHead(socket.getInputStream())) {
+			InputStream input = socket.getInputStream();
+			for (String head = ScriptedTarget.readHead(input); !head.isEmpty(); head = ScriptedTarget.readHead(input)) {
 				this.calls.add(head);
 				output.write(previous.getBytes(StandardCharsets.US_ASCII));
 				String response = this.script.poll();
@@ -106,24 +108,4 @@
 		}
 	}
 
-	// Returns the request line and headers, or an empty string if the peer closed the
-	// connection. Calls have no bodies.
-	private static String readHead(InputStream input) throws IOException {
-		StringBuilder head = new StringBuilder();
-		while (!head.toString().endsWith("\r\n\r\n")) {
-			int next = input.read();
-			if (next < 0) {
-				return "";
-			}
-			head.append((char) next);
-		}
-		return head.toString();
-	}
-
-	private static void start(Runnable action) {
-		Thread thread = new Thread(action, "repeating target");
-		thread.setDaemon(true);
-		thread.start();
-	}
-
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -30,6 +30,7 @@
 import org.redwingramp.node.link.Link;
 import org.redwingramp.node.link.LinkMessage;
 import org.redwingramp.node.loop.EventLoop;
+import org.redwingramp.node.loop.LoopThread;
 
 /**
  * Runs an entry instance on the loopback interface together with a simulated control
@@ -95,9 +96,7 @@
 		EntrySettings settings = new EntrySettings("test", "d", local(this.callerPort), local(freePort()), peerPort,
 				List.of("127.0.0.1"), 0.2, 50, graceNanos, DRAIN_NANOS);
 		this.node = EntryNode.start(this.loop, settings, new TestDialect(), this.events);
-		Thread thread = new Thread(this::runLoop, "loop");
-		thread.setDaemon(true);
-		thread.start();
+		LoopThread.start(this.loop);
 		while (this.entryLink.get() == null) {
 			Thread.sleep(5);
 		}
@@ -208,15 +207,6 @@
 		}
 	}
 
-	private void runLoop() {
-		try {
-			this.loop.run();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("event loop failed", ex);
-		}
-	}
-
 	private static InetSocketAddress local(int port) {
 		return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/ScriptedTarget.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/ScriptedTarget.java
@@ -16,7 +16,7 @@
  * A target that handles each request with the next step of a script: it sends a response,
  * sends none, or closes the connection. Thread safe.
  */
-final class ScriptedTarget implements AutoCloseable {
+public final class ScriptedTarget implements AutoCloseable {
 
 	/** Closes the connection without a response. */
 	static final String CLOSE = "close";
@@ -90,9 +90,13 @@
 		}
 	}
 
-	// Returns the request line and headers, or an empty string if the peer closed the
-	// connection.
-	static String readHead(InputStream input) throws IOException {
+	/**
+	 * Reads the request line and headers of the next request on a connection.
+	 * @param input the bytes of the connection
+	 * @return the head, or an empty string if the peer closed the connection
+	 * @throws IOException if the connection fails
+	 */
+	public static String readHead(InputStream input) throws IOException {
 		StringBuilder head = new StringBuilder();
 		while (!head.toString().endsWith("\r\n\r\n")) {
 			int next = input.read();
@@ -104,7 +108,11 @@
 		return head.toString();
 	}
 
-	static void start(Runnable action) {
+	/**
+	 * Runs an action in a new daemon thread.
+	 * @param action the action
+	 */
+	public static void start(Runnable action) {
 		Thread thread = new Thread(action, "target");
 		thread.setDaemon(true);
 		thread.start();
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/AbandonedCallTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/AbandonedCallTests.java
@@ -17,6 +17,7 @@
 
 import org.redwingramp.node.link.Link;
 import org.redwingramp.node.loop.EventLoop;
+import org.redwingramp.node.loop.LoopThread;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
@@ -36,9 +37,7 @@
 	@BeforeEach
 	void startLoop() throws IOException {
 		this.loop = new EventLoop((failure) -> failure.printStackTrace());
-		Thread thread = new Thread(this::run, "loop");
-		thread.setDaemon(true);
-		thread.start();
+		LoopThread.start(this.loop);
 	}
 
 	@AfterEach
@@ -97,13 +96,13 @@
 	void shouldCloseAnIdleConnectionInTheOrderlyWay() throws Exception {
 		try (ServerSocket target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			TargetConnections connections = connections(target);
-			CompletableFuture<Object> answered = new CompletableFuture<>();
-			this.loop.post(() -> connections.send(request(), 100 * CALL_TIMEOUT_NANOS, new Recorder(answered)));
+			OutcomeRecorder recorder = new OutcomeRecorder();
+			this.loop.post(() -> connections.send(request(), 100 * CALL_TIMEOUT_NANOS, recorder));
 			try (Socket socket = target.accept()) {
 				InputStream input = socket.getInputStream();
 				assertThat(input.read(new byte[1000])).isPositive();
 				socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes());
-				assertThat(answered.get()).isInstanceOf(HttpResponse.class);
+				assertThat(recorder.outcome.get()).isInstanceOf(HttpResponse.class);
 				this.loop.post(connections::closeIdle);
 				assertThat(input.read()).isEqualTo(-1);
 			}
@@ -120,7 +119,7 @@
 	}
 
 	private TargetConnections.Call send(ServerSocket target, long timeoutNanos) {
-		return connections(target).send(request(), timeoutNanos, new Recorder(new CompletableFuture<>()));
+		return connections(target).send(request(), timeoutNanos, new OutcomeRecorder());
 	}
 
 	private TargetConnections connections(ServerSocket target) {
@@ -132,33 +131,4 @@
 		return new HttpRequest("GET", "/", List.of(new Header("Host", "h")), new byte[0]);
 	}
 
-	private void run() {
-		try {
-			this.loop.run();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("event loop failed", ex);
-		}
-	}
-
-	/** Completes a future with the outcome. */
-	private record Recorder(CompletableFuture<Object> outcome) implements ClientListener {
-
-		@Override
-		public ResponseMatch match(HttpResponse response) {
-			return ResponseMatch.OWN;
-		}
-
-		@Override
-		public void answered(HttpResponse response) {
-			this.outcome.complete(response);
-		}
-
-		@Override
-		public void failed(CallFailure failure) {
-			this.outcome.complete(failure);
-		}
-
-	}
-
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessResponseTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessResponseTests.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 import org.redwingramp.node.loop.EventLoop;
+import org.redwingramp.node.loop.LoopThread;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -51,9 +52,7 @@
 	@BeforeEach
 	void startLoop() throws IOException {
 		this.loop = new EventLoop((failure) -> failure.printStackTrace());
-		Thread thread = new Thread(this::run, "loop");
-		thread.setDaemon(true);
-		thread.start();
+		LoopThread.start(this.loop);
 	}
 
 	@AfterEach
@@ -121,44 +120,23 @@
 	}
 
 	private long reservedBytes() throws Exception {
-		CompletableFuture<Long> bytes = new CompletableFuture<>();
-		this.loop.post(() -> bytes.complete(this.memory.reservedBytes()));
-		return bytes.get();
+		return LoopThread.query(this.loop, this.memory::reservedBytes);
 	}
 
 	private CompletableFuture<Object> call(EndlessTarget target) {
-		CompletableFuture<Object> outcome = new CompletableFuture<>();
+		OutcomeRecorder recorder = new OutcomeRecorder() {
+
+			@Override
+			public ResponseMatch match(HttpResponse response) {
+				// Status 299 marks the response to another request.
+				return (response.status() != 299) ? ResponseMatch.OWN : ResponseMatch.OTHER;
+			}
+
+		};
 		HttpRequest request = new HttpRequest("GET", "/", List.of(new Header("Host", "h")), new byte[0]);
 		this.loop.post(() -> new TargetConnections(this.loop, target.address(), this.memory).send(request,
-				CALL_TIMEOUT_NANOS, new ClientListener() {
-
-					@Override
-					public ResponseMatch match(HttpResponse response) {
-						// Status 299 marks the response to another request.
-						return (response.status() != 299) ? ResponseMatch.OWN : ResponseMatch.OTHER;
-					}
-
-					@Override
-					public void answered(HttpResponse response) {
-						outcome.complete(response);
-					}
-
-					@Override
-					public void failed(CallFailure failure) {
-						outcome.complete(failure);
-					}
-
-				}));
-		return outcome;
-	}
-
-	private void run() {
-		try {
-			this.loop.run();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("event loop failed", ex);
-		}
+				CALL_TIMEOUT_NANOS, recorder));
+		return recorder.outcome;
 	}
 
 	/**
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/LoopbackServer.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/LoopbackServer.java
@@ -7,6 +7,7 @@
 import java.nio.channels.ServerSocketChannel;
 
 import org.redwingramp.node.loop.EventLoop;
+import org.redwingramp.node.loop.LoopThread;
 
 /**
  * An {@link HttpServer} on a loopback address, with an event loop in a thread of its own.
@@ -25,9 +26,7 @@
 		ServerSocketChannel socket = this.loop.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
 		this.address = (InetSocketAddress) socket.getLocalAddress();
 		this.server.accept(this.loop, socket);
-		Thread thread = new Thread(this::run, "loop");
-		thread.setDaemon(true);
-		thread.start();
+		LoopThread.start(this.loop);
 	}
 
 	Socket connect() throws IOException {
@@ -39,13 +38,4 @@
 		this.loop.stop();
 	}
 
-	private void run() {
-		try {
-			this.loop.run();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("event loop failed", ex);
-		}
-	}
-
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/RequestMemoryTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/RequestMemoryTests.java
@@ -9,7 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 
@@ -19,6 +18,7 @@
 import org.junit.jupiter.api.Timeout;
 
 import org.redwingramp.node.loop.EventLoop;
+import org.redwingramp.node.loop.LoopThread;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -56,9 +56,7 @@
 		HttpServer server = HttpServer.start(this.loop, this.address, () -> LIMITS,
 				(exchange) -> this.handler.handle(exchange), this.memory);
 		server.onBodyRefused((target, headers, bytes) -> this.refused.add(bytes));
-		Thread thread = new Thread(this::run, "loop");
-		thread.setDaemon(true);
-		thread.start();
+		LoopThread.start(this.loop);
 	}
 
 	@AfterEach
@@ -132,9 +130,7 @@
 	private void awaitReleased() throws Exception {
 		long reserved = -1;
 		while (reserved != 0) {
-			CompletableFuture<Long> current = new CompletableFuture<>();
-			this.loop.post(() -> current.complete(this.memory.reservedBytes()));
-			reserved = current.get();
+			reserved = LoopThread.query(this.loop, this.memory::reservedBytes);
 		}
 	}
 
@@ -155,13 +151,4 @@
 		return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
 	}
 
-	private void run() {
-		try {
-			this.loop.run();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("event loop failed", ex);
-		}
-	}
-
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/SlowReaderTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/SlowReaderTests.java
@@ -1,6 +1,5 @@
 package org.redwingramp.node.http;
 
-import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -8,7 +7,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -16,6 +14,7 @@
 import org.junit.jupiter.api.Timeout;
 
 import org.redwingramp.node.loop.EventLoop;
+import org.redwingramp.node.loop.LoopThread;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -51,9 +50,7 @@
 			this.server.drain();
 		});
 		this.server.accept(this.loop, socket);
-		Thread thread = new Thread(this::run, "loop");
-		thread.setDaemon(true);
-		thread.start();
+		LoopThread.start(this.loop);
 	}
 
 	@AfterEach
@@ -81,18 +78,7 @@
 	}
 
 	private long inFlight() throws Exception {
-		CompletableFuture<Long> count = new CompletableFuture<>();
-		this.loop.post(() -> count.complete(this.server.inFlight()));
-		return count.get();
-	}
-
-	private void run() {
-		try {
-			this.loop.run();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("event loop failed", ex);
-		}
+		return LoopThread.query(this.loop, this.server::inFlight);
 	}
 
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/TruncatedResponseTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/TruncatedResponseTests.java
@@ -8,7 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -18,6 +17,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.redwingramp.node.loop.EventLoop;
+import org.redwingramp.node.loop.LoopThread;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -35,9 +35,7 @@
 	@BeforeEach
 	void startLoop() throws IOException {
 		this.loop = new EventLoop((failure) -> failure.printStackTrace());
-		Thread thread = new Thread(this::run, "loop");
-		thread.setDaemon(true);
-		thread.start();
+		LoopThread.start(this.loop);
 	}
 
 	@AfterEach
@@ -81,12 +79,12 @@
 			Thread target = new Thread(() -> serve(server, prefix), "target");
 			target.setDaemon(true);
 			target.start();
-			CompletableFuture<Object> outcome = new CompletableFuture<>();
+			OutcomeRecorder recorder = new OutcomeRecorder();
 			HttpRequest request = new HttpRequest("GET", "/", List.of(new Header("Host", "h")), new byte[0]);
 			InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
 			this.loop.post(() -> new TargetConnections(this.loop, address, BodyMemoryLimit.forTargetResponses())
-				.send(request, CALL_TIMEOUT_NANOS, new RecordingListener(outcome)));
-			return outcome.get();
+				.send(request, CALL_TIMEOUT_NANOS, recorder));
+			return recorder.outcome.get();
 		}
 	}
 
@@ -103,32 +101,4 @@
 		}
 	}
 
-	private void run() {
-		try {
-			this.loop.run();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("event loop failed", ex);
-		}
-	}
-
-	private record RecordingListener(CompletableFuture<Object> outcome) implements ClientListener {
-
-		@Override
-		public ResponseMatch match(HttpResponse response) {
-			return ResponseMatch.OWN;
-		}
-
-		@Override
-		public void answered(HttpResponse response) {
-			this.outcome.complete(response);
-		}
-
-		@Override
-		public void failed(CallFailure failure) {
-			this.outcome.complete(failure);
-		}
-
-	}
-
 }
