Write no call on a connection that was established too late

Cause: a call is queued on its connection until that is established. After a stall of the process the event loop reports the established connection before the timers that have expired, so the call was written, and given up right after. A grant could reach its target that way after the time for which its lease allows, when the keys may have another owner (OWNER); a booking could run although its caller had long been told of a timeout.

Change: a connection that is established after the connect timeout of its call fails the call as not connected, before anything is written.

Before the change the target read the call; now it sees a reset, and the outcome is "not run".

--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
@@ -18,7 +18,8 @@
 
 /**
  * An HTTP/1.1 client connection to a target. Invariants: it carries one call at a time; a
- * connection on which anything unexpected happened is closed and never reused; a response
+ * connection on which anything unexpected happened is closed and never reused; a call is
+ * not written on a connection that is established after its connect timeout; a response
  * without an identifier counts only for the first call and ends the use of the
  * connection. Not thread safe; it is confined to the event loop's thread.
  */
@@ -92,6 +93,9 @@
 
 	private long reusableUntilNanos;
 
+	// When the connection must be established for its first call.
+	private long connectDeadlineNanos;
+
 	private long writtenBytesBeforeCall;
 
 	ClientConnection(EventLoop loop, InetSocketAddress address, TargetConnections owner, BodyMemoryLimit memory) {
@@ -103,8 +107,9 @@
 		});
 	}
 
-	void send(HttpRequest request, ClientListener receiver) {
+	void send(HttpRequest request, long connectTimeoutNanos, ClientListener receiver) {
 		this.listener = receiver;
+		this.connectDeadlineNanos = System.nanoTime() + connectTimeoutNanos;
 		this.calls++;
 		this.writtenBytesBeforeCall = this.tcp.writtenBytes();
 		this.framingBytes = 0;
@@ -197,7 +202,13 @@
 
 	@Override
 	public void connected() {
-		this.established = true;
+		// After the process was stalled, the event loop reports this before the timeout.
+		if (this.listener != null && System.nanoTime() - this.connectDeadlineNanos >= 0) {
+			timeOut();
+		}
+		else {
+			this.established = true;
+		}
 	}
 
 	private void finishResponse(boolean surplusBytes) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
@@ -88,13 +88,14 @@
 
 	private Call send(HttpRequest request, long timeoutNanos, ClientConnection connection, ClientListener listener) {
 		Timer callTimer = this.loop.schedule(timeoutNanos, connection::timeOut);
-		Timer connectTimer = this.loop.schedule(Math.min(timeoutNanos, CONNECT_TIMEOUT_NANOS), () -> {
+		long connectTimeoutNanos = Math.min(timeoutNanos, CONNECT_TIMEOUT_NANOS);
+		Timer connectTimer = this.loop.schedule(connectTimeoutNanos, () -> {
 			if (!connection.established()) {
 				connection.timeOut();
 			}
 		});
 		Call call = new Call(connection, callTimer, connectTimer);
-		connection.send(request, call.endingCall(listener));
+		connection.send(request, connectTimeoutNanos, call.endingCall(listener));
 		return call;
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/AbandonedCallTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/AbandonedCallTests.java
@@ -9,6 +9,7 @@
 import java.net.SocketException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.LockSupport;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -66,6 +67,36 @@
 		}
 	}
 
+	/**
+	 * Guards against grants that a process writes after it was stalled, when their time
+	 * for the connection has passed and the keys may have another owner.
+	 */
+	@Test
+	void shouldNotWriteACallOnAConnectionThatWasEstablishedTooLate() throws Exception {
+		try (ServerSocket target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			OutcomeRecorder recorder = new OutcomeRecorder();
+			TargetConnections connections = connections(target);
+			this.loop.post(() -> {
+				connections.send(request(), CALL_TIMEOUT_NANOS, recorder);
+				stallOnceAfterTimers();
+			});
+			try (Socket socket = target.accept()) {
+				assertThatExceptionOfType(SocketException.class).isThrownBy(() -> socket.getInputStream().read());
+			}
+			assertThat(recorder.outcome.get()).isEqualTo(new CallFailure(CallFailure.Cause.NOT_CONNECTED, false));
+		}
+	}
+
+	// The connection is established during the stall, and the loop handles that before
+	// the timers of the call.
+	private void stallOnceAfterTimers() {
+		this.loop.afterEachIteration(() -> {
+			this.loop.afterEachIteration(() -> {
+			});
+			LockSupport.parkNanos(2 * CALL_TIMEOUT_NANOS);
+		});
+	}
+
 	/** Guards against relayed grants that arrive over a link which was replaced. */
 	@Test
 	void shouldResetALinkThatIsClosed() throws Exception {
