Record a drain or departure before a late heartbeat is acknowledged

Cause: what a heartbeat changes was decided on the replicated state alone.

Change: the controller decides on the latest description that it has proposed or applied. The stage of an incarnation only moves forward, and a description that isn't applied yet is proposed again, so each acknowledgement waits for its commit. A rejected command of a heartbeat is no longer pending. What is written to the log keeps its meaning, so replicas of two builds agree.

Evidence: of four new tests in FleetControllerTests three failed on the former code (late draining heartbeat acknowledged without a command; SERVING after a drain; DRAINING after a departure).

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -91,6 +91,9 @@
 
 	private final Map<String, FleetCommand> pendingAssignments = new HashMap<>();
 
+	// The latest descriptions of targets that were proposed and aren't applied yet.
+	private final Map<String, FleetTarget> pendingTargets = new HashMap<>();
+
 	private final KeyPlanner planner = new KeyPlanner();
 
 	private final CallDelivery callDelivery;
@@ -164,7 +167,7 @@
 	 */
 	public Optional<FleetCommand> heartbeat(TargetHeartbeat heartbeat, long now) {
 		FleetTarget target = heartbeat.target();
-		Optional<FleetTarget> known = this.state.target(target.name());
+		Optional<FleetTarget> known = latestTarget(target.name());
 		boolean current = known.filter((former) -> former.born() == target.born()).isPresent();
 		boolean outdated = known.filter((former) -> former.born() > target.born()).isPresent();
 		if (outdated || (!current && addressTaken(target))) {
@@ -177,9 +180,28 @@
 			TargetHealth health = TargetHealth.joined(target.born(), now);
 			health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now);
 			this.healthByTarget.put(target.name(), health);
-			return Optional.of(new RecordTarget(target));
+			return toRecord(target);
+		}
+		recordHeartbeat(heartbeat, known.get(), now);
+		return toRecord(known.get().atLeast(target.stage()));
+	}
+
+	// Returns the description of a target that the replicated state has or is about to
+	// have.
+	private Optional<FleetTarget> latestTarget(String name) {
+		return Optional.ofNullable(this.pendingTargets.get(name)).or(() -> this.state.target(name));
+	}
+
+	// Returns the command that records the description of a target, or empty if the
+	// replicated state has it. A description that isn't applied yet is proposed again,
+	// since an acknowledgement has to wait for its commit.
+	private Optional<FleetCommand> toRecord(FleetTarget target) {
+		if (this.state.target(target.name()).filter(target::equals).isPresent()
+				&& !this.pendingTargets.containsKey(target.name())) {
+			return Optional.empty();
 		}
-		return recordHeartbeat(heartbeat, known.get(), now);
+		this.pendingTargets.put(target.name(), target);
+		return Optional.of(new RecordTarget(target));
 	}
 
 	/**
@@ -226,14 +248,13 @@
 	 * incarnation isn't current or has already left
 	 */
 	public Optional<FleetCommand> leave(String name, Optional<Long> born) {
-		if (this.state.target(name).isEmpty()) {
+		Optional<FleetTarget> known = latestTarget(name);
+		if (known.isEmpty()) {
 			// A heartbeat that was sent before may arrive later and must not add it.
-			return born.map((start) -> new RecordTarget(new FleetTarget(name, start, "", "", "", 0, Stage.LEFT)));
+			return born.flatMap((start) -> toRecord(new FleetTarget(name, start, "", "", "", 0, Stage.LEFT)));
 		}
-		return this.state.target(name)
-			.filter((target) -> born.isEmpty() || born.get() == target.born())
-			.filter((target) -> target.stage() != Stage.LEFT)
-			.map((target) -> new RecordTarget(target.with(Stage.LEFT)));
+		return known.filter((target) -> born.isEmpty() || born.get() == target.born())
+			.flatMap((target) -> toRecord(target.with(Stage.LEFT)));
 	}
 
 	/**
@@ -264,13 +285,12 @@
 	// Treats a target that says in its responses that it leaves like one that says so
 	// in a heartbeat.
 	private void targetLeaves(String entry, Owner owner) {
-		this.state.target(owner).filter((target) -> target.stage() == Stage.SERVING).ifPresent((target) -> {
-			RecordTarget command = new RecordTarget(target.with(Stage.DRAINING));
-			if (!this.pendingCommands.contains(command)) {
-				this.output.decision("target-leaves", "target", target.name(), "born", target.born(), "entry", entry);
-			}
-			proposeIfNotPending(command);
-		});
+		latestTarget(owner.target()).filter((target) -> target.owner().equals(owner) && target.stage() == Stage.SERVING)
+			.flatMap((target) -> toRecord(target.with(Stage.DRAINING)))
+			.ifPresent((command) -> {
+				this.output.decision("target-leaves", "target", owner.target(), "born", owner.born(), "entry", entry);
+				this.output.propose(command);
+			});
 	}
 
 	/**
@@ -347,6 +367,9 @@
 	public void commandRejected(FleetCommand command) {
 		this.pendingCommands.remove(command);
 		this.pendingAssignments.values().remove(command);
+		if (command instanceof RecordTarget record) {
+			this.pendingTargets.remove(record.target().name(), record.target());
+		}
 	}
 
 	/**
@@ -498,11 +521,12 @@
 		return merged;
 	}
 
-	private Optional<FleetCommand> recordHeartbeat(TargetHeartbeat heartbeat, FleetTarget known, long now) {
-		TargetHealth health = this.healthByTarget.get(known.name());
+	private void recordHeartbeat(TargetHeartbeat heartbeat, FleetTarget known, long now) {
+		TargetHealth health = this.healthByTarget.computeIfAbsent(known.name(),
+				(name) -> TargetHealth.joined(known.born(), now));
 		boolean wasCold = health.cold(now);
 		if (!health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now)) {
-			return Optional.empty();
+			return;
 		}
 		if (wasCold != health.cold(now)) {
 			this.viewChanges++;
@@ -510,8 +534,6 @@
 		if (grantedByHeartbeat(known.service()) && this.heartbeatDelivery.reported(known, heartbeat.keys())) {
 			assignUnownedRanges(known.service(), now);
 		}
-		boolean startsDraining = known.stage() == Stage.SERVING && heartbeat.target().stage() == Stage.DRAINING;
-		return startsDraining ? Optional.of(new RecordTarget(known.with(Stage.DRAINING))) : Optional.empty();
 	}
 
 	// Returns whether a target that started later states the same address.
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetTarget.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetTarget.java
@@ -18,7 +18,7 @@
 public record FleetTarget(String name, long born, String service, String address, String domain, int slots,
 		Stage stage) {
 
-	/** Lifecycle stage of a target. */
+	/** Lifecycle stage of a target, in the order in which a target passes the stages. */
 	public enum Stage {
 
 		/** Accepts new requests. */
@@ -66,4 +66,14 @@
 		return new FleetTarget(this.name, this.born, this.service, this.address, this.domain, this.slots, next);
 	}
 
+	/**
+	 * Returns this target in the later one of its stage and another. A target never
+	 * returns to an earlier stage, but what it states of itself may arrive out of order.
+	 * @param stated the other stage
+	 * @return the target
+	 */
+	public FleetTarget atLeast(Stage stated) {
+		return (stated.compareTo(this.stage) > 0) ? with(stated) : this;
+	}
+
 }
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -3,15 +3,18 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 import org.redwingramp.core.fleet.EntryReport.KeyUse;
 import org.redwingramp.core.fleet.EntryReport.TargetUse;
+import org.redwingramp.core.fleet.FleetCommand.RecordTarget;
 import org.redwingramp.core.fleet.FleetCommand.SetDomainOut;
 import org.redwingramp.core.fleet.FleetTarget.Stage;
 import org.redwingramp.core.ownership.KeyRange;
+import org.redwingramp.core.ownership.KeyReport;
 import org.redwingramp.core.ownership.Owner;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -218,6 +221,60 @@
 		assertThat(this.fleet.state.target("t-1").orElseThrow().stage()).isEqualTo(Stage.DRAINING);
 	}
 
+	/**
+	 * Guards against a late heartbeat that is acknowledged while the drain which it
+	 * states isn't committed, and may never be.
+	 */
+	@Test
+	void shouldNotAcknowledgeALateDrainingHeartbeatBeforeTheDrainIsRecorded() {
+		awaitInitialAssignment();
+		FleetTarget draining = this.fleet.state.target("t-1").orElseThrow().with(Stage.DRAINING);
+		assertThat(heartbeat(draining, 1002)).contains(new RecordTarget(draining));
+		assertThat(heartbeat(draining, 1001)).contains(new RecordTarget(draining));
+	}
+
+	/**
+	 * Guards against a late heartbeat that makes a target serve again which said
+	 * meanwhile that it drains, while a slow disk delays the commits.
+	 */
+	@Test
+	void shouldNotUndoADrainByALateHeartbeatWhileCommitsAreDelayed() {
+		awaitInitialAssignment();
+		FleetTarget joining = new FleetTarget("t-9", 9, "s", "10.0.0.9:80", "d-3", 3, Stage.SERVING);
+		Stream.of(heartbeat(joining, 1), heartbeat(joining.with(Stage.DRAINING), 3), heartbeat(joining, 2))
+			.flatMap(Optional::stream)
+			.forEach(this.fleet::commit);
+		assertThat(this.fleet.state.target("t-9")).contains(joining.with(Stage.DRAINING));
+	}
+
+	/** Guards against a departure that a heartbeat of the same target undoes. */
+	@Test
+	void shouldNotUndoADepartureWhileItsCommitIsDelayed() {
+		awaitInitialAssignment();
+		FleetTarget draining = this.fleet.state.target("t-1").orElseThrow().with(Stage.DRAINING);
+		Stream
+			.of(this.fleet.controller.leave("t-1", Optional.of(1L)), heartbeat(draining, 1002),
+					this.fleet.controller.leave("t-9", Optional.of(9L)),
+					heartbeat(new FleetTarget("t-9", 9, "s", "10.0.0.9:80", "d-3", 3, Stage.SERVING), 7))
+			.flatMap(Optional::stream)
+			.forEach(this.fleet::commit);
+		assertThat(this.fleet.state.target("t-1").orElseThrow().stage()).isEqualTo(Stage.LEFT);
+		assertThat(this.fleet.state.target("t-9").orElseThrow().stage()).isEqualTo(Stage.LEFT);
+	}
+
+	/** Guards against a target that is never recorded after its command was rejected. */
+	@Test
+	void shouldProposeATargetAgainAfterItsCommandWasRejected() {
+		FleetTarget joining = new FleetTarget("t-9", 9, "s", "10.0.0.9:80", "d-3", 3, Stage.SERVING);
+		this.fleet.controller.commandRejected(heartbeat(joining, 1).orElseThrow());
+		assertThat(heartbeat(joining, 2)).contains(new RecordTarget(joining));
+	}
+
+	private Optional<FleetCommand> heartbeat(FleetTarget target, long sequence) {
+		return this.fleet.controller.heartbeat(new TargetHeartbeat(target, 0, sequence, KeyReport.EMPTY),
+				this.fleet.now);
+	}
+
 	/**
 	 * Guards against a heartbeat that changes the service or address of a running target,
 	 * and against a start time that outdates all heartbeats to come.
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -483,7 +483,12 @@
 			reply.accept(accepted());
 			return;
 		}
-		this.replica.propose(command.get(), (result) -> reply.accept(result.isPresent() ? accepted() : undecided()));
+		this.replica.propose(command.get(), (result) -> {
+			if (result.isEmpty()) {
+				this.controller.ifPresent((activeController) -> activeController.commandRejected(command.get()));
+			}
+			reply.accept(result.isPresent() ? accepted() : undecided());
+		});
 	}
 
 	// Grants keys in the reply to a heartbeat, unless the leadership in which it was
