Probe each incarnation of a target on its own after a broken connection

Cause: requests whose connections broke were collected by the name of their target while one probe asked whether it had crashed. If the target came back under its name at another address meanwhile, a request to the present process counted towards the crash of the former one, and was refused for ten minutes after two such coincidences (quarantine of requests that crash targets).

Change: a probe belongs to one incarnation.

Evidence: CrashDetectorTests failed before with {deadly, innocent}.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/CrashDetector.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/CrashDetector.java
@@ -32,7 +32,9 @@
 
 	private final Listener listener;
 
-	private final Map<String, Probe> probes = new HashMap<>();
+	// Each incarnation of a target has a probe of its own, since it may have another
+	// address than the one before.
+	private final Map<EntryTarget, Probe> probes = new HashMap<>();
 
 	CrashDetector(EventLoop loop, Listener listener) {
 		this.loop = loop;
@@ -42,10 +44,10 @@
 	// Finds out whether the target has crashed after a connection broke on which it had
 	// received the request with this digest.
 	void connectionBroken(EntryTarget target, String digest) {
-		Probe probe = this.probes.get(target.name());
+		Probe probe = this.probes.get(target);
 		if (probe == null) {
-			probe = new Probe(target.name());
-			this.probes.put(target.name(), probe);
+			probe = new Probe(target);
+			this.probes.put(target, probe);
 			probe.start(target.connections().address());
 		}
 		if (probe.digests.size() < MAX_REQUESTS) {
@@ -66,7 +68,7 @@
 	/** One attempt to connect to a target. */
 	private final class Probe implements TcpHandler {
 
-		private final String target;
+		private final EntryTarget target;
 
 		private final Set<String> digests = new LinkedHashSet<>();
 
@@ -74,7 +76,7 @@
 
 		private Timer timer;
 
-		Probe(String target) {
+		Probe(EntryTarget target) {
 			this.target = target;
 		}
 
@@ -108,7 +110,7 @@
 		public void failed(Exception cause) {
 			end();
 			if (cause instanceof ConnectException) {
-				CrashDetector.this.listener.crashed(this.target, this.digests);
+				CrashDetector.this.listener.crashed(this.target.name(), this.digests);
 			}
 		}
 
--- /dev/null
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashDetectorTests.java
@@ -0,0 +1,79 @@
+package org.redwingramp.node.entry;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import org.redwingramp.core.dispatch.TargetTracker;
+import org.redwingramp.core.fleet.FleetView.ViewTarget;
+import org.redwingramp.node.http.BodyMemoryLimit;
+import org.redwingramp.node.http.TargetConnections;
+import org.redwingramp.node.loop.EventLoop;
+import org.redwingramp.node.loop.LoopThread;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Guards against requests that are taken for the cause of a crash of another process. */
+@Timeout(20)
+class CrashDetectorTests {
+
+	private final BlockingQueue<Set<String>> crashes = new LinkedBlockingQueue<>();
+
+	private EventLoop loop;
+
+	private CrashDetector detector;
+
+	@BeforeEach
+	void startLoop() throws IOException {
+		this.loop = new EventLoop((failure) -> failure.printStackTrace());
+		this.detector = new CrashDetector(this.loop, (target, digests) -> this.crashes.add(digests));
+		LoopThread.start(this.loop);
+	}
+
+	@AfterEach
+	void stopLoop() {
+		this.loop.stop();
+	}
+
+	/**
+	 * Guards against a request to the present process under a name that counts towards
+	 * the crash of the former one, at another address.
+	 */
+	@Test
+	void shouldNotBlameARequestToTheNextIncarnationForTheCrashOfTheFormer() throws Exception {
+		try (ServerSocket running = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			EntryTarget former = target(1, closedPort());
+			EntryTarget present = target(2, running.getLocalPort());
+			this.loop.post(() -> {
+				this.detector.connectionBroken(former, "deadly");
+				this.detector.connectionBroken(present, "innocent");
+			});
+			assertThat(this.crashes.poll(5, TimeUnit.SECONDS)).containsExactly("deadly");
+		}
+	}
+
+	private EntryTarget target(long born, int port) {
+		ViewTarget view = new ViewTarget("t-0", "s", "127.0.0.1:" + port, "d", 3, true, 0, born);
+		return new EntryTarget(view,
+				new TargetConnections(this.loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+						BodyMemoryLimit.forTargetResponses()),
+				new TargetTracker(3, 100, System.nanoTime()), System.nanoTime());
+	}
+
+	private static int closedPort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return socket.getLocalPort();
+		}
+	}
+
+}
