Ignore the limit that a former incarnation of a target states late

Cause: a response that arrives after the view names the next incarnation of its target set the limit by the target's name, with the time of its arrival. The leader drops limits observed before a target joined, so this one passed, and the new process was held to the rate of the former one.

Change: only the incarnation in the view states or withdraws a limit.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -337,8 +337,7 @@
 		long now = System.nanoTime();
 		boolean stillOwner = !this.sharded
 				|| this.node.view().owner(this.service, this.fields.key().orElseThrow()).equals(candidate.name());
-		boolean current = this.node.view().target(candidate.name()).filter((target) -> target == candidate).isPresent();
-		if (stillOwner && current && candidate.view().usable() && accepts(candidate, now)
+		if (stillOwner && current(candidate) && candidate.view().usable() && accepts(candidate, now)
 				&& remainingMillis(now) >= MIN_ATTEMPT_MILLIS && quarantineLeftMillis(now).isEmpty()) {
 			send(candidate, now);
 		}
@@ -347,6 +346,11 @@
 		}
 	}
 
+	// Returns whether the incarnation of the target is the one in the view.
+	private boolean current(EntryTarget candidate) {
+		return this.node.view().target(candidate.name()).filter((target) -> target == candidate).isPresent();
+	}
+
 	void permitRefused(EntryTarget candidate, Refusal reason, long delayMillis) {
 		this.permit = null;
 		long now = System.nanoTime();
@@ -426,8 +430,12 @@
 	}
 
 	// A response without a limit withdraws it only if the target itself produced the
-	// response, and not if the request was sent before the limit was observed.
+	// response, and not if the request was sent before the limit was observed. A limit is
+	// known by the name of its target, so a former incarnation can't state one.
 	private void limitStated(EntryTarget sender, ResponseFields responseFields, long now) {
+		if (!current(sender)) {
+			return;
+		}
 		OptionalDouble perSecond = responseFields.limitPerSecond();
 		boolean withdrawn = perSecond.isEmpty() && (responseFields.signed() || responseFields.notRun())
 				&& this.node.limit(sender, now).filter((limit) -> limit.observedNanos() < this.sentNanos).isPresent();
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
@@ -1,6 +1,10 @@
 package org.redwingramp.node.entry;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -8,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
@@ -111,6 +116,25 @@
 		}
 	}
 
+	// Guards against a limit of a former process under the same name that holds the
+	// present one, since its response came late.
+	@Test
+	void shouldNotUseALimitThatAFormerIncarnationStatesLate() throws Exception {
+		try (ServerSocket former = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+				ScriptedTarget present = new ScriptedTarget(LIMITED)) {
+			this.entry.sendView("t-0", "127.0.0.1:" + former.getLocalPort());
+			Future<String> response = this.callers.submit(() -> this.entry.call("/lookup/a", "1"));
+			try (Socket socket = former.accept()) {
+				ScriptedTarget.readHead(socket.getInputStream());
+				this.entry.born = 2;
+				this.entry.sendView("t-0", present);
+				socket.getOutputStream().write(LIMITED.getBytes(StandardCharsets.US_ASCII));
+				assertThat(response.get()).startsWith("HTTP/1.1 200");
+			}
+			assertThat(this.entry.observations.poll(600, TimeUnit.MILLISECONDS)).isNull();
+		}
+	}
+
 	// Guards against a target that is held to a limit that it no longer states.
 	@Test
 	void shouldSendFreelyOnceTheTargetStatesNoLimit() throws Exception {
