Compact the log of control replicas by size as well as by entries

Cause: a control replica compacted its log after 200 entries and kept 128 of them in memory, whatever their size.

Evidence: with both limits lifted ReplicationTests.shouldBoundTheMemoryFor LargeEntriesAfterACompaction and ControlNodeTests.shouldCompactAfterFewLarge Configurations (60 changes of 400 KB) fail, with them they pass.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/Replica.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/Replica.java
@@ -65,6 +65,12 @@
 	 */
 	long commitIndex();
 
+	/**
+	 * Returns the size of the log entries that are kept in memory.
+	 * @return the number of bytes
+	 */
+	long logBytes();
+
 	/**
 	 * Returns whether this replica is the leader, has committed an entry of its own term
 	 * and holds the leader lease, so that its state may be read without another round of
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/ReplicaCore.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/ReplicaCore.java
@@ -143,6 +143,11 @@
 		return this.context.log().commitIndex();
 	}
 
+	@Override
+	public long logBytes() {
+		return this.context.log().retainedBytes();
+	}
+
 	@Override
 	public boolean mayRead(long now) {
 		return this.leadership.mayRead(now);
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/ReplicaLog.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/ReplicaLog.java
@@ -25,6 +25,12 @@
 	 */
 	static final int RETAINED_ENTRIES = 128;
 
+	/**
+	 * Maximum size of the entries that compaction keeps. Large entries are sent again as
+	 * part of a snapshot instead.
+	 */
+	static final long RETAINED_BYTES = 4L * 1024 * 1024;
+
 	/** Size that an entry counts besides its payload. */
 	private static final long ENTRY_OVERHEAD_BYTES = 32;
 
@@ -173,7 +179,7 @@
 		Snapshot compacted = new Snapshot(index, last.term(), last.clockMillis(), membershipAt(index).orElseThrow(),
 				state);
 		this.snapshot = Optional.of(compacted);
-		long newBase = Math.max(this.baseIndex, index - RETAINED_ENTRIES);
+		long newBase = baseAfterCompaction(index);
 		if (newBase > this.baseIndex) {
 			LogEntry base = entry(newBase);
 			this.entries.subList(0, (int) (newBase - this.baseIndex)).clear();
@@ -185,6 +191,23 @@
 		return compacted;
 	}
 
+	// Returns the index after which compaction up to the given index keeps entries.
+	private long baseAfterCompaction(long index) {
+		long lowest = Math.max(this.baseIndex, index - RETAINED_ENTRIES);
+		long base = index;
+		long retained = 0;
+		while (base > lowest && retained + bytes(entry(base)) <= RETAINED_BYTES) {
+			retained += bytes(entry(base));
+			base--;
+		}
+		return base;
+	}
+
+	// Returns the size of the entries in memory.
+	long retainedBytes() {
+		return this.entries.stream().mapToLong(ReplicaLog::bytes).sum();
+	}
+
 	// Replaces the whole log by the snapshot.
 	void install(Snapshot received) {
 		if (received.index() <= this.commitIndex || received.index() <= lastIndex()) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/consensus/ReplicationTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/consensus/ReplicationTests.java
@@ -159,4 +159,27 @@
 		assertThat(replica.term()).isEqualTo(7);
 	}
 
+	/**
+	 * Guards against replicas that run out of memory because they keep a fixed number of
+	 * entries, however large these are.
+	 */
+	@Test
+	void shouldBoundTheMemoryForLargeEntriesAfterACompaction() {
+		TestGroup group = TestGroup.formed(12, "a", "b", "c");
+		String large = "x".repeat(400 * 1024);
+		TestNode lagging = group.others(group.leader()).get(0);
+		group.isolate(lagging);
+		for (int i = 0; i < 50; i++) {
+			group.propose(group.leader(), i + large);
+			group.run(200);
+		}
+		TestNode leader = group.leader();
+		assertThat(leader.applied).hasSize(50);
+		group.compact(leader);
+		assertThat(leader.replica.logBytes()).isLessThanOrEqualTo(4 * 1024 * 1024);
+		group.heal();
+		group.run(20_000);
+		assertThat(lagging.applied).isEqualTo(leader.applied);
+	}
+
 }
--- a/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/ControlLoop.java
+++ b/redwingramp-daemon/src/main/java/org/redwingramp/daemon/internal/control/ControlLoop.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import org.redwingramp.core.consensus.CompactionSchedule;
 import org.redwingramp.core.consensus.LogEntry;
 import org.redwingramp.core.consensus.Outbound;
 import org.redwingramp.core.consensus.PeerMessage;
@@ -74,9 +75,7 @@
 
 	private final EffectBuffer effects = new EffectBuffer();
 
-	private final int snapshotEvery;
-
-	private long lastSnapshotIndex;
+	private final CompactionSchedule compaction;
 
 	private long nextHelloNanos;
 
@@ -99,8 +98,7 @@
 		this.links = components.links();
 		this.peers = components.peers();
 		this.clock = components.clock();
-		this.snapshotEvery = components.snapshotEvery();
-		this.lastSnapshotIndex = this.stateMachine.appliedIndex();
+		this.compaction = new CompactionSchedule(components.snapshotEvery());
 	}
 
 	/**
@@ -321,10 +319,11 @@
 	private void apply(Object item) throws InvariantViolatedException, CodecException {
 		if (item instanceof Snapshot snapshot) {
 			this.stateMachine.installSnapshot(snapshot);
-			this.lastSnapshotIndex = snapshot.index();
+			this.compaction.restart();
 		}
 		else if (item instanceof LogEntry entry) {
 			this.replica.membership().ifPresent((group) -> this.stateMachine.initializeCluster(group.clusterId()));
+			this.compaction.applied(entry);
 			this.stateMachine.apply(entry);
 		}
 	}
@@ -344,11 +343,11 @@
 	}
 
 	private void snapshotIfDue() {
-		long applied = this.stateMachine.appliedIndex();
-		if (applied - this.lastSnapshotIndex < this.snapshotEvery) {
+		if (!this.compaction.due()) {
 			return;
 		}
-		this.lastSnapshotIndex = applied;
+		this.compaction.restart();
+		long applied = this.stateMachine.appliedIndex();
 		ControlSnapshot snapshot = this.stateMachine.state().snapshot();
 		this.snapshotExecutor.execute(() -> encodeSnapshot(applied, snapshot));
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -215,6 +215,7 @@
 		this.entries.addGauges(metrics);
 		metrics.gauge("leading", () -> this.controller.isPresent() ? 1 : 0);
 		metrics.gauge("term", () -> this.replica.term());
+		metrics.gauge("log_bytes", () -> this.replica.logBytes());
 		metrics.gauge("config_version", () -> this.replica.state().configVersion());
 		metrics.gauge("targets", () -> this.replica.state().targets().size());
 		metrics.gauge("leases", () -> this.controller.map(FleetController::leaseCount).orElse(0L));
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -11,6 +11,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
+import org.redwingramp.core.consensus.CompactionSchedule;
 import org.redwingramp.core.consensus.ConsensusTiming;
 import org.redwingramp.core.consensus.LogEntry;
 import org.redwingramp.core.consensus.Outbound;
@@ -96,6 +97,8 @@
 
 	private final PendingProposals<Consumer<Optional<FleetResult>>> proposals = new PendingProposals<>();
 
+	private final CompactionSchedule compaction = new CompactionSchedule(SNAPSHOT_INTERVAL_ENTRIES);
+
 	private BiConsumer<FleetCommand, FleetResult> appliedListener = (command, result) -> {
 	};
 
@@ -105,8 +108,6 @@
 
 	private long appliedIndex;
 
-	private long snapshotIndex;
-
 	private Optional<String> reportedLeader = Optional.empty();
 
 	private long reportedLeaderNanos;
@@ -170,6 +171,10 @@
 		return this.replica.term();
 	}
 
+	long logBytes() {
+		return this.replica.logBytes();
+	}
+
 	// A replica that isn't a voter receives no messages about elections, so it relies on
 	// the last message in which a leader named itself.
 	Optional<String> leader() {
@@ -355,6 +360,7 @@
 
 	private void apply(LogEntry entry) {
 		this.appliedIndex = entry.index();
+		this.compaction.applied(entry);
 		if (entry.kind() == LogEntry.Kind.MEMBERSHIP) {
 			this.replica.membership().ifPresent((group) -> group.all().forEach((id) -> this.peers.addPeer(id.name())));
 		}
@@ -376,7 +382,7 @@
 		try {
 			this.state = new FleetState(this.snapshotCodec.decode(snapshot.state()));
 			this.appliedIndex = snapshot.index();
-			this.snapshotIndex = snapshot.index();
+			this.compaction.restart();
 			snapshot.membership().all().forEach((id) -> this.peers.addPeer(id.name()));
 		}
 		catch (CodecException ex) {
@@ -385,10 +391,10 @@
 	}
 
 	private void compactIfDue() {
-		if (this.appliedIndex - this.snapshotIndex < SNAPSHOT_INTERVAL_ENTRIES) {
+		if (!this.compaction.due()) {
 			return;
 		}
-		this.snapshotIndex = this.appliedIndex;
+		this.compaction.restart();
 		try {
 			byte[] encoded = this.snapshotCodec.encode(this.state.snapshot());
 			long index = this.appliedIndex;
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
@@ -1,5 +1,7 @@
 package org.redwingramp.node.control;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.stream.Stream;
 
@@ -29,6 +31,11 @@
 
 	private static final String FIFTH = "127.0.0.15";
 
+	/** The number and size of configurations, which exceed the limit of the log twice. */
+	private static final int LARGE_CONFIGS = 60;
+
+	private static final int LARGE_CONFIG_CHARS = 400 * 1024;
+
 	/** Time within which replicas that aren't seeds join a new group. */
 	private static final long JOIN_MILLIS = 3000;
 
@@ -61,6 +68,27 @@
 		}
 	}
 
+	/**
+	 * Guards against replicas whose memory and disk hold hundreds of large
+	 * configurations, since they compact only after a number of entries.
+	 */
+	@Test
+	void shouldCompactAfterFewLargeConfigurations() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
+			String routes = "r".repeat(LARGE_CONFIG_CHARS);
+			for (int i = 0; i < LARGE_CONFIGS; i++) {
+				assertThat(control.call("replace " + i + ' ' + (i + 1) + ' ' + routes)).startsWith("ACCEPTED");
+			}
+			assertThat(bytesOnDisk(FIRST)).isLessThan(LARGE_CONFIGS * LARGE_CONFIG_CHARS / 2);
+		}
+	}
+
+	private long bytesOnDisk(String replica) throws IOException {
+		try (Stream<Path> files = Files.walk(this.folder.resolve(replica))) {
+			return files.filter(Files::isRegularFile).mapToLong((file) -> file.toFile().length()).sum();
+		}
+	}
+
 	@Test
 	void shouldKeepAcknowledgedChangesWhenAllReplicasRestart() throws Exception {
 		try (ControlFixture control = new ControlFixture(this.folder, FIRST, SECOND, THIRD)) {
