Part what targets state of themselves from the controller

Change: TargetRegister decides which command records a target, and who is the latest at an address.

Measured: tests of the fleet and of heartbeats pass.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -91,8 +91,7 @@
 
 	private final Map<String, FleetCommand> pendingAssignments = new HashMap<>();
 
-	// The latest descriptions of targets that were proposed and aren't applied yet.
-	private final Map<String, FleetTarget> pendingTargets = new HashMap<>();
+	private final TargetRegister targets;
 
 	private final KeyPlanner planner = new KeyPlanner();
 
@@ -122,6 +121,7 @@
 	public FleetController(FleetState state, FleetOutput output, LeaseTiming timing, long now) {
 		this.state = state;
 		this.output = output;
+		this.targets = new TargetRegister(state);
 		this.leases = new LeaseTable(timing);
 		this.observations = new FleetObservations(this.healthByTarget, output, this::viewChanged);
 		this.callDelivery = new CallDelivery(this, this.leases, output);
@@ -167,7 +167,7 @@
 	 */
 	public Optional<FleetCommand> heartbeat(TargetHeartbeat heartbeat, long now) {
 		FleetTarget target = heartbeat.target();
-		Optional<FleetTarget> known = latestTarget(target.name());
+		Optional<FleetTarget> known = this.targets.latest(target.name());
 		boolean current = known.filter((former) -> former.born() == target.born()).isPresent();
 		boolean outdated = known.filter((former) -> former.born() > target.born()).isPresent();
 		if (outdated || (!current && addressTaken(target))) {
@@ -180,28 +180,10 @@
 			TargetHealth health = TargetHealth.joined(target.born(), now);
 			health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now);
 			this.healthByTarget.put(target.name(), health);
-			return toRecord(target);
+			return this.targets.record(target);
 		}
 		recordHeartbeat(heartbeat, known.get(), now);
-		return toRecord(known.get().atLeast(target.stage()));
-	}
-
-	// Returns the description of a target that the replicated state has or is about to
-	// have.
-	private Optional<FleetTarget> latestTarget(String name) {
-		return Optional.ofNullable(this.pendingTargets.get(name)).or(() -> this.state.target(name));
-	}
-
-	// Returns the command that records the description of a target, or empty if the
-	// replicated state has it. A description that isn't applied yet is proposed again,
-	// since an acknowledgement has to wait for its commit.
-	private Optional<FleetCommand> toRecord(FleetTarget target) {
-		if (this.state.target(target.name()).filter(target::equals).isPresent()
-				&& !this.pendingTargets.containsKey(target.name())) {
-			return Optional.empty();
-		}
-		this.pendingTargets.put(target.name(), target);
-		return Optional.of(new RecordTarget(target));
+		return this.targets.record(known.get().atLeast(target.stage()));
 	}
 
 	/**
@@ -248,13 +230,7 @@
 	 * incarnation isn't current or has already left
 	 */
 	public Optional<FleetCommand> leave(String name, Optional<Long> born) {
-		Optional<FleetTarget> known = latestTarget(name);
-		if (known.isEmpty()) {
-			// A heartbeat that was sent before may arrive later and must not add it.
-			return born.flatMap((start) -> toRecord(new FleetTarget(name, start, "", "", "", 0, Stage.LEFT)));
-		}
-		return known.filter((target) -> born.isEmpty() || born.get() == target.born())
-			.flatMap((target) -> toRecord(target.with(Stage.LEFT)));
+		return this.targets.departure(name, born);
 	}
 
 	/**
@@ -285,12 +261,10 @@
 	// Treats a target that says in its responses that it leaves like one that says so
 	// in a heartbeat.
 	private void targetLeaves(String entry, Owner owner) {
-		latestTarget(owner.target()).filter((target) -> target.owner().equals(owner) && target.stage() == Stage.SERVING)
-			.flatMap((target) -> toRecord(target.with(Stage.DRAINING)))
-			.ifPresent((command) -> {
-				this.output.decision("target-leaves", "target", owner.target(), "born", owner.born(), "entry", entry);
-				this.output.propose(command);
-			});
+		this.targets.drain(owner).ifPresent((command) -> {
+			this.output.decision("target-leaves", "target", owner.target(), "born", owner.born(), "entry", entry);
+			this.output.propose(command);
+		});
 	}
 
 	/**
@@ -367,9 +341,7 @@
 	public void commandRejected(FleetCommand command) {
 		this.pendingCommands.remove(command);
 		this.pendingAssignments.values().remove(command);
-		if (command instanceof RecordTarget record) {
-			this.pendingTargets.remove(record.target().name(), record.target());
-		}
+		this.targets.settled(command);
 	}
 
 	/**
@@ -536,12 +508,8 @@
 		}
 	}
 
-	// Returns whether a target that started later states the same address.
 	boolean addressTaken(FleetTarget target) {
-		return this.state.targets()
-			.stream()
-			.anyMatch((other) -> other.address().equals(target.address()) && !other.name().equals(target.name())
-					&& other.born() > target.born());
+		return this.targets.addressTaken(target);
 	}
 
 	private void recordCall(RangeLease lease, boolean answered, long now) {
@@ -560,7 +528,7 @@
 			.filter((lease) -> !this.leases.assignable(lease, now))
 			.map((lease) -> lease.range().owner())
 			.collect(Collectors.toSet());
-		Set<String> replaced = replacedTargets();
+		Set<String> replaced = this.targets.replaced();
 		this.state.targets()
 			.stream()
 			.filter((target) -> !owners.contains(target.owner()))
@@ -570,24 +538,6 @@
 			.forEach((target) -> proposeIfNotPending(new ForgetTarget(target.owner())));
 	}
 
-	// Returns the targets at whose address another one states that it started later. The
-	// earlier process has probably ended, but only an answer from the address or the end
-	// of its leases proves that it holds no keys.
-	private Set<String> replacedTargets() {
-		Map<String, FleetTarget> newest = new HashMap<>();
-		Set<String> replaced = new HashSet<>();
-		this.state.targets().stream().filter((target) -> !target.address().isEmpty()).forEach((target) -> {
-			FleetTarget other = newest.get(target.address());
-			if (other != null) {
-				replaced.add((other.born() < target.born()) ? other.name() : target.name());
-			}
-			if (other == null || other.born() < target.born()) {
-				newest.put(target.address(), target);
-			}
-		});
-		return replaced;
-	}
-
 	private void maintainLease(RangeLease lease, long now) {
 		this.state.target(lease.range().owner())
 			.filter((target) -> !ownerChangePending(lease))
