Send views only in the term in which the replica leads

Cause: a view was labelled with the replica's current term. Between the end of its leadership and the next check of the controller (up to 20 ms, more on a stalled machine), a replica that had heard of the next term opened a session for an entry instance that connected again, and sent it its view 52 as the one of that term. The entry instance then took views 1 to 30 of the real leader for old ones (view-applied OUTDATED), without an end while that leader's numbers stayed below 52. Its reports stated view 52 in that term, so the leader counted each change as applied and acknowledged it at once (change-confirmed without-it 0). CONFIG, DRAIN and EVAC depend on this.

Change: the sessions belong to the term in which the controller was created; views bear it, and acknowledgements of another term don't count. A replica acts as leader only in that term, not until its next check.

Evidence: DeposedLeaderTests sends a later term and the hello of an entry instance in one segment; before the change it got a view of the term in which the replica didn't lead.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -118,6 +118,9 @@
 
 	private Optional<FleetController> controller = Optional.empty();
 
+	// The term in which the controller was created.
+	private long controllerTerm;
+
 	private Optional<TrafficConfig> config = Optional.empty();
 
 	private LinkMessage.LeaderInfo lastSentLeaderInfo = new LinkMessage.LeaderInfo("", false, List.of());
@@ -226,7 +229,7 @@
 		detectSuspension();
 		updateLeadership();
 		this.entries.closeUnresponsive(System.nanoTime());
-		if (this.controller.isPresent() && mayAct()) {
+		if (leading() && mayAct()) {
 			this.controller.get().tick(System.nanoTime());
 		}
 	}
@@ -253,7 +256,7 @@
 	// Creates or discards the controller when this replica becomes or ceases to be
 	// leader.
 	private void updateLeadership() {
-		if (this.controller.isPresent() && !this.replica.leads()) {
+		if (this.controller.isPresent() && !leading()) {
 			this.controller = Optional.empty();
 			this.entries.stopLeading();
 			this.events.log(NodeEvent.CONTROLLER_DECISION, "decision", "leadership-ended", "term", this.replica.term());
@@ -264,13 +267,21 @@
 		sendLeaderInfo();
 	}
 
+	// Returns whether the controller may act. Between the end of its leadership and the
+	// next
+	// check, this replica may know a later term already.
+	private boolean leading() {
+		return this.controller.isPresent() && this.replica.leads() && this.replica.term() == this.controllerTerm;
+	}
+
 	private void startLeading() {
 		FleetState state = this.replica.state();
+		this.controllerTerm = this.replica.term();
 		this.controller = Optional.of(new FleetController(state, new Output(), LeaseTiming.DEFAULT, System.nanoTime()));
 		loadConfig();
 		// Entry instances refuse all requests until they have a view, so it is sent
 		// before the controller's first round.
-		this.entries.startLeading();
+		this.entries.startLeading(this.controllerTerm);
 		sendLeaderInfo();
 		flush();
 		this.events.log(NodeEvent.CONTROLLER_DECISION, "decision", "leadership-began", "term", this.replica.term(),
@@ -303,8 +314,7 @@
 	}
 
 	private LinkMessage.LeaderInfo leaderInfo() {
-		return new LinkMessage.LeaderInfo(this.replica.leader().orElse(""), this.controller.isPresent(),
-				this.replica.replicaNames());
+		return new LinkMessage.LeaderInfo(this.replica.leader().orElse(""), leading(), this.replica.replicaNames());
 	}
 
 	private void received(Link link, LinkMessage message) {
@@ -334,14 +344,14 @@
 	// outside the group learns of the leader by this message only.
 	private void acknowledgeHello(Link link) {
 		link.send(this.replica.hello());
-		if (this.controller.isPresent()) {
+		if (leading()) {
 			link.send(leaderInfo());
 		}
 	}
 
 	// Opens a session for an entry instance if this replica leads.
 	private void openSession(Link link, String entry, long configVersion) {
-		if (this.controller.isPresent()) {
+		if (leading()) {
 			this.entries.openSession(link, entry, configVersion);
 		}
 	}
@@ -349,12 +359,12 @@
 	private void report(Link link, LinkMessage.Report report) {
 		openSession(link, report.entry(), 0);
 		link.send(leaderInfo());
-		if (this.controller.isPresent()) {
+		if (leading()) {
 			long now = System.nanoTime();
 			report.clockMillis()
 				.ifPresent((millis) -> this.entries.session(link)
 					.ifPresent((session) -> session.clockReported(millis, now)));
-			this.entries.viewAcknowledged(link, (report.term() == this.replica.term()) ? report.sequence() : 0, now);
+			this.entries.viewAcknowledged(link, report.term(), report.sequence(), now);
 			this.controller.get().report(report.entry(), report.report(), now);
 		}
 	}
@@ -362,7 +372,7 @@
 	// Without a reply, the entry instance sends the request within its own share of the
 	// rate.
 	private void reservePermit(Link link, LinkMessage.PermitRequest request) {
-		if (this.controller.isEmpty() || !mayAct()) {
+		if (!leading() || !mayAct()) {
 			return;
 		}
 		Reservation reservation = this.controller.get()
@@ -407,7 +417,7 @@
 
 	// Sends the changes of this round of the event loop to the entry instances.
 	private void flush() {
-		if (this.controller.isPresent()) {
+		if (leading()) {
 			this.entries.publishView(this.viewSource, System.nanoTime());
 		}
 	}
@@ -424,7 +434,7 @@
 		else if (call instanceof ControlRequest.Invalid invalid) {
 			reply.accept(ControlAnswer.of(Kind.INVALID, invalid.reason()));
 		}
-		else if (this.controller.isPresent() && mayAct()) {
+		else if (leading() && mayAct()) {
 			execute(call, reply);
 		}
 		else {
@@ -571,11 +581,6 @@
 
 		private byte[] packed = new byte[0];
 
-		@Override
-		public long term() {
-			return ControlNode.this.replica.term();
-		}
-
 		@Override
 		public long configVersion() {
 			return ControlNode.this.replica.state().configVersion();
@@ -610,7 +615,7 @@
 	 */
 	private final class Output implements FleetOutput {
 
-		private final long term = ControlNode.this.replica.term();
+		private final long term = ControlNode.this.controllerTerm;
 
 		@Override
 		public void propose(FleetCommand command) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
@@ -22,8 +22,10 @@
 
 /**
  * The entry instances that are connected to this replica. While the replica leads, each
- * of them has a session, which receives the view and tracks its acknowledgements. Not
- * thread safe; confined to the event loop's thread.
+ * of them has a session, which receives the view and tracks its acknowledgements.
+ * Invariant: views bear the term in which the sessions were opened, also when this
+ * replica has heard of a later term meanwhile. Not thread safe; confined to the event
+ * loop's thread.
  */
 final class EntrySessions {
 
@@ -69,6 +71,9 @@
 
 	private long lastRelayNumber;
 
+	// The term of the leadership to which the sessions belong.
+	private long term;
+
 	// The last view that was built, and the inputs that it was built from.
 	private ViewState currentView = ViewState.EMPTY;
 
@@ -123,8 +128,11 @@
 			.forEach(Link::close);
 	}
 
-	// Opens a session for each connected entry instance when this replica becomes leader.
-	void startLeading() {
+	// Opens a session for each connected entry instance when this replica becomes leader
+	// in
+	// the given term.
+	void startLeading(long leadershipTerm) {
+		this.term = leadershipTerm;
 		this.lastBuiltChangeCount = -1;
 		this.links.forEach((link, hello) -> openSession(link, hello.entry(), hello.configVersion()));
 	}
@@ -152,7 +160,7 @@
 
 	private byte[] encode(ViewSource source, ViewState base, boolean config, long now) {
 		Optional<byte[]> document = config ? Optional.of(source.document()) : Optional.empty();
-		return Link.encode(new LinkMessage.View(this.currentView.changesSince(base, source.term(), document, now)));
+		return Link.encode(new LinkMessage.View(this.currentView.changesSince(base, this.term, document, now)));
 	}
 
 	private void refreshView(ViewSource source, long now) {
@@ -189,8 +197,11 @@
 		return this.sessions.values().stream().filter((session) -> session.name().equals(entry)).findFirst();
 	}
 
-	void viewAcknowledged(Link link, long sequence, long now) {
-		session(link).ifPresent((session) -> session.flowControl().acknowledged(sequence));
+	// Takes note of the view that an entry instance has applied. A view of another term
+	// says nothing about the views of this one, which are numbered anew.
+	void viewAcknowledged(Link link, long viewTerm, long sequence, long now) {
+		long acknowledged = (viewTerm == this.term) ? sequence : 0;
+		session(link).ifPresent((session) -> session.flowControl().acknowledged(acknowledged));
 		long minAcknowledged = responsiveSessions(now).stream()
 			.mapToLong((session) -> session.flowControl().acknowledgedSequence())
 			.min()
@@ -263,8 +274,6 @@
 	 */
 	interface ViewSource {
 
-		long term();
-
 		long configVersion();
 
 		byte[] document();
