Refuse heartbeats before the first configuration as unavailable

Cause: a control leader without a configuration knows no services, so it answered the heartbeats of all targets 400, "service isn't named by the configuration in force".

Change: such a heartbeat is answered 503, as a read of the configuration is.

Evidence: ControlNodeTests.shouldRefuseHeartbeatsAsUnavailableBeforeTheFirst Configuration failed before.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -459,7 +459,11 @@
 
 	private void execute(ControlRequest call, Consumer<ControlAnswer> reply) {
 		FleetController activeController = this.controller.orElseThrow();
-		if (call instanceof ControlRequest.Heartbeat heartbeat) {
+		if (call instanceof ControlRequest.Heartbeat && this.config.isEmpty()) {
+			// Nothing is wrong with the heartbeat; its service can't be known yet.
+			reply.accept(noConfig());
+		}
+		else if (call instanceof ControlRequest.Heartbeat heartbeat) {
 			Optional<String> objection = activeController.objectionTo(heartbeat.heartbeat(),
 					System.currentTimeMillis());
 			if (objection.isPresent()) {
@@ -483,9 +487,8 @@
 		}
 		else {
 			FleetState state = this.replica.state();
-			reply.accept(
-					(state.configVersion() > 0 && this.replica.upToDate()) ? ControlAnswer.ofDocument(state.document())
-							: ControlAnswer.of(Kind.UNAVAILABLE, "no configuration is available yet"));
+			reply.accept((state.configVersion() > 0 && this.replica.upToDate())
+					? ControlAnswer.ofDocument(state.document()) : noConfig());
 		}
 	}
 
@@ -527,6 +530,10 @@
 		return ControlAnswer.of(Kind.ACCEPTED, this.replica.name() + ':' + this.settings.listen().getPort());
 	}
 
+	private static ControlAnswer noConfig() {
+		return ControlAnswer.of(Kind.UNAVAILABLE, "no configuration is available yet");
+	}
+
 	private static ControlAnswer undecided() {
 		return ControlAnswer.of(Kind.UNAVAILABLE, "the change may or may not be committed");
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
@@ -68,6 +68,24 @@
 		}
 	}
 
+	/**
+	 * Guards against targets that are told that their heartbeat is invalid, because they
+	 * started before the first configuration was sent.
+	 */
+	@Test
+	void shouldRefuseHeartbeatsAsUnavailableBeforeTheFirstConfiguration() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST)) {
+			String answer = control.callOnce(FIRST, "heartbeat t-1");
+			for (int i = 0; i < MAX_ATTEMPTS && !answer.contains("configuration"); i++) {
+				Thread.sleep(100);
+				answer = control.callOnce(FIRST, "heartbeat t-1");
+			}
+			assertThat(answer).isEqualTo("UNAVAILABLE no configuration is available yet");
+			assertThat(control.call("replace 0 5 one")).startsWith("ACCEPTED");
+			assertThat(control.call("heartbeat t-1")).startsWith("ACCEPTED");
+		}
+	}
+
 	/**
 	 * Guards against replicas whose memory and disk hold hundreds of large
 	 * configurations, since they compact only after a number of entries.
