Test link messages with components more or fewer

Change: LinkMessageTests decodes a relayed call and a report without the components that were added last, and a view with components that aren't known.

Processes of two builds weren't run beside each other.

--- a/redwingramp-node/src/test/java/org/redwingramp/node/link/LinkMessageTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/link/LinkMessageTests.java
@@ -5,7 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Consumer;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import org.junit.jupiter.api.Test;
 
 import org.redwingramp.core.consensus.PeerMessage;
@@ -33,6 +37,8 @@
  */
 class LinkMessageTests {
 
+	private static final ObjectMapper CBOR = new ObjectMapper(new CBORFactory());
+
 	private static final Owner OWNER = new Owner("t", 7);
 
 	private static final FleetTarget TARGET = new FleetTarget("t", 7, "s", "10.0.0.1:80", "d", 3,
@@ -57,6 +63,35 @@
 		}
 	}
 
+	// Guards against a rolling restart in which processes of two builds close their links
+	// again and again: the older build sends no component that was added, the newer one
+	// sends components that the older build doesn't know.
+	@Test
+	void shouldReadMessagesWithMoreOrFewerComponents() throws Exception {
+		GrantCall call = new GrantCall("t", false, 0, 9, 1, 3000, Optional.empty());
+		EntryReport report = new EntryReport(List.of(), List.of(), List.of(), List.of(OWNER));
+		assertThat(decodeChanged(new LinkMessage.RelayCall(5, 3, "10.0.0.1:80", call, Optional.of(9L)),
+				(fields) -> fields.remove("notAfterMillis")))
+			.isEqualTo(new LinkMessage.RelayCall(5, 3, "10.0.0.1:80", call, Optional.empty()));
+		assertThat(decodeChanged(new LinkMessage.Report("e", 1, 2, report, Optional.of(8L)), (fields) -> {
+			((ObjectNode) fields.get("report")).remove(List.of("leaving", "observations"));
+			fields.remove("clockMillis");
+		})).isEqualTo(
+				new LinkMessage.Report("e", 1, 2, new EntryReport(List.of(), List.of(), List.of()), Optional.empty()));
+		LinkMessage.View view = new LinkMessage.View(LinkWarmup.sampleView());
+		assertThat(decodeChanged(view, (fields) -> {
+			fields.put("newer", 1);
+			((ObjectNode) fields.get("view")).putObject("newer").put("a", "b");
+		})).usingRecursiveComparison().isEqualTo(view);
+	}
+
+	// Changes the encoded components of a message and decodes it again.
+	private static LinkMessage decodeChanged(LinkMessage message, Consumer<ObjectNode> change) throws Exception {
+		ObjectNode typed = (ObjectNode) CBOR.readTree(Link.CODEC.encode(message));
+		change.accept((ObjectNode) typed.elements().next());
+		return Link.CODEC.decode(CBOR.writeValueAsBytes(typed));
+	}
+
 	// Any other exception than CodecException isn't handled as a malformed message.
 	@Test
 	void shouldRejectMalformedMessages() throws CodecException {
