Sync the deletion of each log segment before the next

Without that sync each deletion may be kept or lost on its own when the power fails. If a later one was kept and an earlier one was lost, the segments have a gap; the replica took its folder for damaged and started empty, although all it had acknowledged was there. Replicas compact at the same entries, so a loss of power of all of them at once could take more copies than are allowed (LOST, CONFIG).

Cause: the simulated disk of the tests lost or kept all unsynced names together, as a journaling file system does. The platform's disks don't.

The simulated disk decides for each name.

--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/FileReplicaStore.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/FileReplicaStore.java
@@ -182,7 +182,8 @@
 	/**
 	 * Gives the current snapshot its final name, then deletes the segments and snapshots
 	 * that it replaces and leftover temporary files. The oldest segment is deleted first,
-	 * so that a crash never leaves a gap between segments.
+	 * and each deletion is synced before the next, since a power loss may undo any of the
+	 * deletions that aren't synced. So there is never a gap between segments.
 	 */
 	private void compact() throws IOException {
 		List<String> names = this.files.list(this.layout.folder());
@@ -195,6 +196,7 @@
 		while (this.highestIndexBySegment.size() > 1
 				&& this.highestIndexBySegment.get(this.highestIndexBySegment.firstKey()) <= current) {
 			this.files.delete(this.layout.segment(this.highestIndexBySegment.firstKey()));
+			this.files.syncFolder(this.layout.folder());
 			this.highestIndexBySegment.remove(this.highestIndexBySegment.firstKey());
 		}
 		for (long index : StoreLayout.snapshotIndices(names)) {
--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/MemoryFiles.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/MemoryFiles.java
@@ -4,17 +4,20 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /**
  * A simulated disk in memory that tracks which changes are synced, fails from a given
- * change on and can lose unsynced changes. Unsynced changes of file names are lost or
- * kept together, as in a journaling file system; any part of the bytes that were appended
- * without a sync may be lost. Not thread safe.
+ * change on and can lose unsynced changes. Each file that was created, renamed or deleted
+ * without a sync of the folder is lost or kept on its own, as on file systems without a
+ * journal; any part of the bytes that were appended without a sync may be lost. Not
+ * thread safe.
  */
 final class MemoryFiles implements StoreFiles {
 
@@ -22,6 +25,9 @@
 
 	private Map<Path, Content> syncedNames;
 
+	// Changes of names since the last sync of the folder, in their order.
+	private final List<Consumer<Map<Path, Content>>> unsyncedNames = new ArrayList<>();
+
 	private int changes;
 
 	private int firstFailure = Integer.MAX_VALUE;
@@ -62,7 +68,8 @@
 	 */
 	MemoryFiles afterPowerLoss(Random random) {
 		Map<Path, Content> remaining = new TreeMap<>();
-		Map<Path, Content> chosen = random.nextBoolean() ? this.names : this.syncedNames;
+		Map<Path, Content> chosen = new TreeMap<>(this.syncedNames);
+		this.unsyncedNames.stream().filter((change) -> random.nextBoolean()).forEach((change) -> change.accept(chosen));
 		chosen.forEach((path, content) -> remaining.put(path, new Content(content.afterPowerLoss(random))));
 		return new MemoryFiles(remaining);
 	}
@@ -94,21 +101,33 @@
 
 	@Override
 	public Output openForWriting(Path file) throws IOException {
-		return new MemoryOutput(this.names.computeIfAbsent(file, (path) -> new Content(new byte[0])));
+		if (!this.names.containsKey(file)) {
+			Content created = new Content(new byte[0]);
+			changeNames((disk) -> disk.put(file, created));
+		}
+		return new MemoryOutput(this.names.get(file));
 	}
 
 	@Override
 	public void rename(Path from, Path to) throws IOException {
 		countChange();
-		this.names.put(to, find(from));
-		this.names.remove(from);
+		Content content = find(from);
+		changeNames((disk) -> {
+			disk.put(to, content);
+			disk.remove(from);
+		});
 	}
 
 	@Override
 	public void delete(Path file) throws IOException {
 		countChange();
 		find(file);
-		this.names.remove(file);
+		changeNames((disk) -> disk.remove(file));
+	}
+
+	private void changeNames(Consumer<Map<Path, Content>> change) {
+		change.accept(this.names);
+		this.unsyncedNames.add(change);
 	}
 
 	@Override
@@ -120,6 +139,7 @@
 	public void syncFolder(Path folder) throws IOException {
 		countChange();
 		this.syncedNames = new TreeMap<>(this.names);
+		this.unsyncedNames.clear();
 	}
 
 	@Override
