--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashDetectorTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashDetectorTests.java
@@ -9,17 +9,16 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 import org.redwingramp.core.dispatch.TargetTracker;
 import org.redwingramp.core.fleet.FleetView.ViewTarget;
 import org.redwingramp.node.http.BodyMemoryLimit;
 import org.redwingramp.node.http.TargetConnections;
-import org.redwingramp.node.loop.EventLoop;
-import org.redwingramp.node.loop.LoopThread;
+import org.redwingramp.node.loop.LoopExtension;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -29,20 +28,14 @@
 
 	private final BlockingQueue<Set<String>> crashes = new LinkedBlockingQueue<>();
 
-	private EventLoop loop;
+	@RegisterExtension
+	final LoopExtension loops = new LoopExtension();
 
 	private CrashDetector detector;
 
 	@BeforeEach
-	void startLoop() throws IOException {
-		this.loop = new EventLoop((failure) -> failure.printStackTrace());
-		this.detector = new CrashDetector(this.loop, (target, digests) -> this.crashes.add(digests));
-		LoopThread.start(this.loop);
-	}
-
-	@AfterEach
-	void stopLoop() {
-		this.loop.stop();
+	void createDetector() {
+		this.detector = new CrashDetector(this.loops.loop(), (target, digests) -> this.crashes.add(digests));
 	}
 
 	/**
@@ -54,7 +47,7 @@
 		try (ServerSocket running = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			EntryTarget former = target(1, closedPort());
 			EntryTarget present = target(2, running.getLocalPort());
-			this.loop.post(() -> {
+			this.loops.loop().post(() -> {
 				this.detector.connectionBroken(former, "deadly");
 				this.detector.connectionBroken(present, "innocent");
 			});
@@ -65,7 +58,7 @@
 	private EntryTarget target(long born, int port) {
 		ViewTarget view = new ViewTarget("t-0", "s", "127.0.0.1:" + port, "d", 3, true, 0, born);
 		return new EntryTarget(view,
-				new TargetConnections(this.loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+				new TargetConnections(this.loops.loop(), new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
 						BodyMemoryLimit.forTargetResponses()),
 				new TargetTracker(3, 100, System.nanoTime()), System.nanoTime());
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/AbandonedCallTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/AbandonedCallTests.java
@@ -11,14 +11,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 import org.redwingramp.node.link.Link;
-import org.redwingramp.node.loop.EventLoop;
-import org.redwingramp.node.loop.LoopThread;
+import org.redwingramp.node.loop.LoopExtension;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
@@ -33,24 +31,14 @@
 
 	private static final long CALL_TIMEOUT_NANOS = 200_000_000L;
 
-	private EventLoop loop;
-
-	@BeforeEach
-	void startLoop() throws IOException {
-		this.loop = new EventLoop((failure) -> failure.printStackTrace());
-		LoopThread.start(this.loop);
-	}
-
-	@AfterEach
-	void stopLoop() {
-		this.loop.stop();
-	}
+	@RegisterExtension
+	final LoopExtension loops = new LoopExtension();
 
 	/** Guards against renewals that arrive seconds after they timed out. */
 	@Test
 	void shouldResetTheConnectionOfACallThatTimedOut() throws Exception {
 		try (ServerSocket target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			this.loop.post(() -> send(target, CALL_TIMEOUT_NANOS));
+			this.loops.loop().post(() -> send(target, CALL_TIMEOUT_NANOS));
 			assertReset(target);
 		}
 	}
@@ -59,9 +47,9 @@
 	@Test
 	void shouldResetTheConnectionOfACancelledCall() throws Exception {
 		try (ServerSocket target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			this.loop.post(() -> {
+			this.loops.loop().post(() -> {
 				TargetConnections.Call call = send(target, 100 * CALL_TIMEOUT_NANOS);
-				this.loop.schedule(CALL_TIMEOUT_NANOS, call::cancel);
+				this.loops.loop().schedule(CALL_TIMEOUT_NANOS, call::cancel);
 			});
 			assertReset(target);
 		}
@@ -76,7 +64,7 @@
 		try (ServerSocket target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			OutcomeRecorder recorder = new OutcomeRecorder();
 			TargetConnections connections = connections(target);
-			this.loop.post(() -> {
+			this.loops.loop().post(() -> {
 				connections.send(request(), CALL_TIMEOUT_NANOS, recorder);
 				stallOnceAfterTimers();
 			});
@@ -90,8 +78,8 @@
 	// The connection is established during the stall, and the loop handles that before
 	// the timers of the call.
 	private void stallOnceAfterTimers() {
-		this.loop.afterEachIteration(() -> {
-			this.loop.afterEachIteration(() -> {
+		this.loops.loop().afterEachIteration(() -> {
+			this.loops.loop().afterEachIteration(() -> {
 			});
 			LockSupport.parkNanos(2 * CALL_TIMEOUT_NANOS);
 		});
@@ -101,14 +89,14 @@
 	@Test
 	void shouldResetALinkThatIsClosed() throws Exception {
 		CompletableFuture<InetSocketAddress> address = new CompletableFuture<>();
-		this.loop.post(() -> {
+		this.loops.loop().post(() -> {
 			try {
-				address.complete((InetSocketAddress) this.loop
+				address.complete((InetSocketAddress) this.loops.loop()
 					.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), (tcp) -> {
 						Link link = Link.accepted(tcp, (sender, message) -> {
 						}, (closed) -> {
 						});
-						this.loop.schedule(CALL_TIMEOUT_NANOS, link::close);
+						this.loops.loop().schedule(CALL_TIMEOUT_NANOS, link::close);
 						return link;
 					})
 					.getLocalAddress());
@@ -128,13 +116,13 @@
 		try (ServerSocket target = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			TargetConnections connections = connections(target);
 			OutcomeRecorder recorder = new OutcomeRecorder();
-			this.loop.post(() -> connections.send(request(), 100 * CALL_TIMEOUT_NANOS, recorder));
+			this.loops.loop().post(() -> connections.send(request(), 100 * CALL_TIMEOUT_NANOS, recorder));
 			try (Socket socket = target.accept()) {
 				InputStream input = socket.getInputStream();
 				assertThat(input.read(new byte[1000])).isPositive();
 				socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes());
 				assertThat(recorder.outcome.get()).isInstanceOf(HttpResponse.class);
-				this.loop.post(connections::closeIdle);
+				this.loops.loop().post(connections::closeIdle);
 				assertThat(input.read()).isEqualTo(-1);
 			}
 		}
@@ -154,7 +142,7 @@
 	}
 
 	private TargetConnections connections(ServerSocket target) {
-		return new TargetConnections(this.loop, (InetSocketAddress) target.getLocalSocketAddress(),
+		return new TargetConnections(this.loops.loop(), (InetSocketAddress) target.getLocalSocketAddress(),
 				BodyMemoryLimit.forTargetResponses());
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessResponseTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessResponseTests.java
@@ -13,14 +13,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-import org.redwingramp.node.loop.EventLoop;
+import org.redwingramp.node.loop.LoopExtension;
 import org.redwingramp.node.loop.LoopThread;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -47,18 +46,8 @@
 
 	private final BodyMemoryLimit memory = BodyMemoryLimit.forTargetResponses();
 
-	private EventLoop loop;
-
-	@BeforeEach
-	void startLoop() throws IOException {
-		this.loop = new EventLoop((failure) -> failure.printStackTrace());
-		LoopThread.start(this.loop);
-	}
-
-	@AfterEach
-	void stopLoop() {
-		this.loop.stop();
-	}
+	@RegisterExtension
+	final LoopExtension loops = new LoopExtension();
 
 	@ParameterizedTest
 	@EnumSource(mode = EnumSource.Mode.MATCH_ALL, names = "HEAD_.*")
@@ -120,7 +109,7 @@
 	}
 
 	private long reservedBytes() throws Exception {
-		return LoopThread.query(this.loop, this.memory::reservedBytes);
+		return LoopThread.query(this.loops.loop(), this.memory::reservedBytes);
 	}
 
 	private CompletableFuture<Object> call(EndlessTarget target) {
@@ -134,8 +123,9 @@
 
 		};
 		HttpRequest request = new HttpRequest("GET", "/", List.of(new Header("Host", "h")), new byte[0]);
-		this.loop.post(() -> new TargetConnections(this.loop, target.address(), this.memory).send(request,
-				CALL_TIMEOUT_NANOS, recorder));
+		this.loops.loop()
+			.post(() -> new TargetConnections(this.loops.loop(), target.address(), this.memory).send(request,
+					CALL_TIMEOUT_NANOS, recorder));
 		return recorder.outcome;
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/TruncatedResponseTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/TruncatedResponseTests.java
@@ -10,14 +10,12 @@
 import java.util.List;
 import java.util.stream.IntStream;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import org.redwingramp.node.loop.EventLoop;
-import org.redwingramp.node.loop.LoopThread;
+import org.redwingramp.node.loop.LoopExtension;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -30,18 +28,8 @@
 
 	private static final long CALL_TIMEOUT_NANOS = 3_000_000_000L;
 
-	private EventLoop loop;
-
-	@BeforeEach
-	void startLoop() throws IOException {
-		this.loop = new EventLoop((failure) -> failure.printStackTrace());
-		LoopThread.start(this.loop);
-	}
-
-	@AfterEach
-	void stopLoop() {
-		this.loop.stop();
-	}
+	@RegisterExtension
+	final LoopExtension loops = new LoopExtension();
 
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\nContent-Length: 12\r\n\r\nhello, world",
@@ -82,8 +70,9 @@
 			OutcomeRecorder recorder = new OutcomeRecorder();
 			HttpRequest request = new HttpRequest("GET", "/", List.of(new Header("Host", "h")), new byte[0]);
 			InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
-			this.loop.post(() -> new TargetConnections(this.loop, address, BodyMemoryLimit.forTargetResponses())
-				.send(request, CALL_TIMEOUT_NANOS, recorder));
+			this.loops.loop()
+				.post(() -> new TargetConnections(this.loops.loop(), address, BodyMemoryLimit.forTargetResponses())
+					.send(request, CALL_TIMEOUT_NANOS, recorder));
 			return recorder.outcome.get();
 		}
 	}
