Stop a replica at a committed entry that it can't decode

What could happen: a committed command of a newer version raised an exception in the event loop, which logged it and went on.

Evidence: UndecodableEntryTests appends such an entry to the log of a replica; before the change it led on.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -116,7 +116,9 @@
 
 	private boolean executing;
 
-	private boolean storageFailed;
+	// Whether this replica must do nothing more, since its disk failed or its state would
+	// differ from that of the others.
+	private boolean failed;
 
 	// The executor runs the disk writes one after the other.
 	ReplicaHost(EventLoop loop, ControlSettings settings, EventWriter events, ExecutorService diskExecutor)
@@ -194,24 +196,24 @@
 	// Returns whether this replica leads and has applied all committed entries to its
 	// state.
 	boolean upToDate() {
-		return !this.storageFailed && this.replica.mayRead(System.nanoTime())
+		return !this.failed && this.replica.mayRead(System.nanoTime())
 				&& this.appliedIndex >= this.replica.commitIndex();
 	}
 
 	boolean leads() {
-		return !this.storageFailed && this.replica.role() == Role.LEADER;
+		return !this.failed && this.replica.role() == Role.LEADER;
 	}
 
 	// Returns whether this replica leads and holds the leader lease, so that no other
 	// replica can act as leader.
 	boolean mayAct() {
-		return !this.storageFailed && this.replica.mayRead(System.nanoTime());
+		return !this.failed && this.replica.mayRead(System.nanoTime());
 	}
 
 	// Proposes a command. The result is empty if it is unknown whether the command will
 	// be committed.
 	void propose(FleetCommand command, Consumer<Optional<FleetResult>> result) {
-		if (this.storageFailed) {
+		if (this.failed) {
 			result.accept(Optional.empty());
 			return;
 		}
@@ -248,7 +250,7 @@
 	}
 
 	private void handle(ReplicaEvent event, long now) {
-		if (this.storageFailed) {
+		if (this.failed) {
 			return;
 		}
 		ReplicaEffects effects = this.replica.handle(event, now);
@@ -304,7 +306,7 @@
 				this.loop.post(() -> persisted(batch));
 			}
 			catch (StorageException ex) {
-				this.loop.post(() -> storageFailed(ex));
+				this.loop.post(() -> fail(NodeEvent.STORAGE_FAILED, ex.getMessage()));
 			}
 		});
 	}
@@ -322,12 +324,13 @@
 		executePending();
 	}
 
-	private void storageFailed(StorageException failure) {
-		this.storageFailed = true;
-		this.events.log(NodeEvent.STORAGE_FAILED, "action", "stop the process", "reason", failure.getMessage());
+	// What the disk holds is unknown until the folder is opened again, and an entry that
+	// can't be applied separates this state from that of the others, so the process
+	// stops.
+	private void fail(NodeEvent event, String reason) {
+		this.failed = true;
+		this.events.log(event, "action", "stop the process", "reason", reason);
 		abandonProposals();
-		// What the disk holds is unknown until the folder is opened again, so the process
-		// stops.
 		this.loop.stop();
 	}
 
@@ -359,6 +362,9 @@
 	}
 
 	private void apply(LogEntry entry) {
+		if (this.failed) {
+			return;
+		}
 		this.appliedIndex = entry.index();
 		this.compaction.applied(entry);
 		if (entry.kind() == LogEntry.Kind.MEMBERSHIP) {
@@ -374,7 +380,8 @@
 			this.proposals.committed(entry).ifPresent((handler) -> handler.accept(Optional.of(result)));
 		}
 		catch (CodecException ex) {
-			throw new IllegalStateException("Committed log entry " + entry.index() + " can't be decoded", ex);
+			fail(NodeEvent.UNEXPECTED_FAILURE, "committed log entry " + entry.index() + " can't be decoded ("
+					+ ex.getMessage() + "); it may come from a newer version");
 		}
 	}
 
@@ -386,12 +393,13 @@
 			snapshot.membership().all().forEach((id) -> this.peers.addPeer(id.name()));
 		}
 		catch (CodecException ex) {
-			throw new IllegalStateException("Snapshot up to log entry " + snapshot.index() + " can't be decoded", ex);
+			fail(NodeEvent.UNEXPECTED_FAILURE, "snapshot up to log entry " + snapshot.index() + " can't be decoded ("
+					+ ex.getMessage() + "); it may come from a newer version");
 		}
 	}
 
 	private void compactIfDue() {
-		if (!this.compaction.due()) {
+		if (this.failed || !this.compaction.due()) {
 			return;
 		}
 		this.compaction.restart();
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 import org.redwingramp.node.events.EventWriter;
@@ -86,6 +87,20 @@
 		this.running.add(new RunningReplica(name, loop, ended));
 	}
 
+	// Waits until a replica ends by itself.
+	void awaitEnd(String name) throws Exception {
+		for (RunningReplica replica : List.copyOf(this.running)) {
+			if (replica.name().equals(name)) {
+				replica.ended().get(MAX_ATTEMPTS * RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+				this.running.remove(replica);
+			}
+		}
+	}
+
+	Path dataFolder(String name) {
+		return this.folder.resolve(name);
+	}
+
 	StallingDisk disk(String name) {
 		return this.disks.get(name);
 	}
