--- a/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/CrashSuspectsTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/CrashSuspectsTests.java
@@ -130,8 +130,7 @@
 	}
 
 	// Guards against evidence that counts again when it arrives late: an instance that
-	// was
-	// suspended reads a view which had waited in its socket, and takes it as newer.
+	// was suspended reads a view which had waited in its socket, and takes it as newer.
 	@Test
 	void shouldNotCountADelayedCopyAsAnotherCrash() {
 		restart(2);
@@ -169,10 +168,9 @@
 		assertThat(repeat(new Random(1), 5, 900, List.of())).isEqualTo(1);
 	}
 
-	// Sends the deadly request through random instances and returns how often it crashed
-	// a
-	// target. Requests beside it are at the same target, and another target answers them
-	// afterwards.
+	// Sends the deadly request through random instances and returns how often it
+	// crashed a target. Requests beside it are at the same target, and another target
+	// answers them afterwards.
 	private int repeat(Random random, int times, int intervalMillis, List<String> beside) {
 		int crashes = 0;
 		for (int i = 0; i < times; i++) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatOwnershipTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatOwnershipTests.java
@@ -78,8 +78,7 @@
 	}
 
 	// Hot keys: without coordinated heartbeats, a move leaves its keys without an owner
-	// for
-	// about one heartbeat interval.
+	// for about one heartbeat interval.
 	@Test
 	void shouldMoveHotKeysInLessThanHalfAHeartbeatInterval() {
 		HeartbeatFleet fleet = servingFleet(6);
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/TargetLimitTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/TargetLimitTests.java
@@ -72,8 +72,7 @@
 	}
 
 	// Guards against a target that comes back under the same name and is held to the
-	// limit
-	// of its former life, also by a report that arrives late.
+	// limit of its former life, also by a report that arrives late.
 	@Test
 	void shouldWithdrawTheLimitOfAnEarlierIncarnation() {
 		state(LIMIT, 0);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -267,9 +267,8 @@
 		sendLeaderInfo();
 	}
 
-	// Returns whether the controller may act. Between the end of its leadership and the
-	// next
-	// check, this replica may know a later term already.
+	// Returns whether the controller may act. After the end of its leadership it remains
+	// until the next check, while this replica may know a later term already.
 	private boolean leading() {
 		return this.controller.isPresent() && this.replica.leads() && this.replica.term() == this.controllerTerm;
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
@@ -128,9 +128,8 @@
 			.forEach(Link::close);
 	}
 
-	// Opens a session for each connected entry instance when this replica becomes leader
-	// in
-	// the given term.
+	// Opens a session for each connected entry instance when this replica begins to lead
+	// in the given term.
 	void startLeading(long leadershipTerm) {
 		this.term = leadershipTerm;
 		this.lastBuiltChangeCount = -1;
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -324,9 +324,8 @@
 		executePending();
 	}
 
-	// What the disk holds is unknown until the folder is opened again, and an entry that
-	// can't be applied separates this state from that of the others, so the process
-	// stops.
+	// Stops the process: what a failed disk holds is unknown until the folder is opened
+	// again, and a replica that can't apply an entry has another state than the others.
 	private void fail(NodeEvent event, String reason) {
 		this.failed = true;
 		this.events.log(event, "action", "stop the process", "reason", reason);
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryStopTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryStopTests.java
@@ -26,9 +26,8 @@
 
 	private static final long INTERVAL_MILLIS = 100;
 
-	// Guards against a request that is taken shortly before the process stops: it ran at
-	// a
-	// target, and its caller saw the connection close without an answer.
+	// Guards against a request that is taken shortly before the process stops: it ran
+	// at a target, and its caller saw the connection close without an answer.
 	@Test
 	void shouldAnswerEachRequestThatItSendsToATargetWhileItStops() throws Exception {
 		String[] script = Collections.nCopies(CALLS, ScriptedTarget.NO_RESPONSE).toArray(String[]::new);
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
@@ -99,8 +99,7 @@
 	}
 
 	// Guards against a leader that learns nothing of a limit: neither the one that is
-	// told
-	// at once, nor the next one, which begins with a full view.
+	// told at once, nor the next one, which begins with a full view.
 	@Test
 	void shouldReportTheLimitAtOnceAndAgainToTheNextLeader() throws Exception {
 		try (ScriptedTarget target = new ScriptedTarget(LIMITED)) {
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
@@ -47,8 +47,7 @@
 	// Guards against a ping reply that is rejected because a one-way message was sent
 	// after the ping. Sending without pauses makes a message follow each ping. Messages
 	// that take longer than the ping timeout are dropped by design, so that is longer
-	// here
-	// than a busy machine may take.
+	// here than a busy machine may take.
 	@Test
 	void shouldDeliverOneWayMessagesInOrderAcrossPings() throws Exception {
 		LinkSettings patient = new LinkSettings(1 << 20, 256, 8, 64, 3000, 100, 250, 3000, 15_000, 20, 500);
