Close a link after an unexpected failure of its receiver

What could happen: an exception of the receiver left the input of the link neither read nor compacted. The next bytes were read from the wrong place, or messages that had been handled were handled again.

Change: such a link is closed, as one with a message that can't be decoded.

Evidence: LinkTests, a link whose receiver fails; before the change it stayed open. Found by looking at what is matched by position; no exception of this kind is known.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/Link.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/Link.java
@@ -13,8 +13,9 @@
 
 /**
  * Exchanges length-prefixed messages with another process of the fleet over a TCP
- * connection. Invariant: a message that can't be decoded closes the link. Not thread
- * safe; it is confined to the event loop's thread.
+ * connection. Invariant: a message that can't be decoded, or whose receiver fails, closes
+ * the link, so that each message is received once at most. Not thread safe; it is
+ * confined to the event loop's thread.
  */
 public final class Link implements TcpHandler {
 
@@ -165,6 +166,11 @@
 		catch (CodecException ex) {
 			close();
 		}
+		catch (RuntimeException ex) {
+			// The input is at an unknown position, and what was read may be read again.
+			close();
+			throw ex;
+		}
 		if (!this.closed) {
 			this.input.compact();
 		}
