Show that one element of a view stops an entry instance

One element of a view that can't be used (a target without a service or address, a reversed key range, a range outside the keys, an owner that is missing) makes EntryView.apply throw, before or after a part of the view was applied. The sequence number stays, so each later view fails as well. A configuration that can't be read has the same effect.

--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
@@ -3,10 +3,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.redwingramp.core.fleet.FleetView;
@@ -112,6 +116,69 @@
 		assertThat(this.view.unusableTargets()).containsExactly("odd at " + address);
 	}
 
+	/**
+	 * Guards against one element of a view that can't be used, after which an entry
+	 * instance applies neither configurations nor drains nor owners of keys.
+	 */
+	@ParameterizedTest
+	@MethodSource("unusableElements")
+	@Tag("known-red")
+	void shouldApplyTheRestOfAViewAndLaterViewsAfterAnUnusableElement(ViewTarget target, ViewRange range)
+			throws Exception {
+		ViewTarget draining = new ViewTarget("b", "s", "127.0.0.1:1", "d", 3, false, 0, 0);
+		FleetView full = new FleetView(6, 1, 0, 8, 1, Optional.of(new byte[] { 8 }),
+				List.of(target, target("a"), draining), List.of(),
+				Map.of("odd", List.of(range), "s", List.of(range, new ViewRange(0, 99, "a"))), List.of());
+		assertThat(apply(full)).isEqualTo(Outcome.TAKEN);
+		assertThat(this.view.configVersion()).isEqualTo(8);
+		assertThat(this.view.targets("s")).extracting(EntryTarget::name).containsExactly("a");
+		assertThat(this.view.owner("s", 99)).isEqualTo("a");
+		FleetView difference = new FleetView(6, 2, 1, 9, 1, Optional.of(new byte[] { 9 }), List.of(target, target("c")),
+				List.of("a"), Map.of("s", List.of(range, new ViewRange(0, 9, "c"))), List.of());
+		assertThat(apply(difference)).isEqualTo(Outcome.TAKEN);
+		assertThat(this.view.configVersion()).isEqualTo(9);
+		assertThat(this.view.targets("s")).extracting(EntryTarget::name).containsExactly("c");
+		assertThat(this.view.owner("s", 9)).isEqualTo("c");
+		assertThat(this.view.owner("s", 10)).isEqualTo("a");
+	}
+
+	/**
+	 * Guards against a configuration that this build can't read, after which an entry
+	 * instance goes on sending requests to targets that drain and to former owners.
+	 */
+	@Test
+	@Tag("known-red")
+	void shouldFollowTargetsAndOwnersAfterAnUnreadableConfiguration() throws Exception {
+		ViewTarget draining = new ViewTarget("b", "s", "127.0.0.1:1", "d", 3, false, 0, 0);
+		FleetView unreadable = new FleetView(5, 11, 10, 8, 1, Optional.of(TestDialect.UNREADABLE_DOCUMENT),
+				List.of(draining), List.of(), Map.of("s", List.of(new ViewRange(0, 99, "b"))), List.of());
+		assertThat(apply(unreadable)).isEqualTo(Outcome.TAKEN);
+		assertThat(this.view.configVersion()).isEqualTo(7);
+		assertThat(this.view.targets("s")).extracting(EntryTarget::name).containsExactly("a");
+		assertThat(this.view.owner("s", 99)).isEqualTo("b");
+		FleetView later = new FleetView(5, 12, 11, 8, 1, Optional.empty(), List.of(), List.of("b"),
+				Map.of("s", List.of(new ViewRange(0, 9, "a"))), List.of());
+		assertThat(apply(later)).isEqualTo(Outcome.TAKEN);
+		assertThat(this.view.target("b")).isEmpty();
+		assertThat(this.view.owner("s", 9)).isEqualTo("a");
+		FleetView readable = new FleetView(5, 13, 12, 9, 1, Optional.of(new byte[] { 9 }), List.of(), List.of(),
+				Map.of(), List.of());
+		assertThat(apply(readable)).isEqualTo(Outcome.TAKEN);
+		assertThat(this.view.configVersion()).isEqualTo(9);
+	}
+
+	static Stream<Arguments> unusableElements() {
+		ViewTarget target = new ViewTarget("d", "s", "127.0.0.1:1", "d", 3, false, 0, 0);
+		ViewRange range = new ViewRange(200, 300, "a");
+		return Stream.of(Arguments.of(new ViewTarget("odd", null, "127.0.0.1:1", "d", 3, true, 0, 0), range),
+				Arguments.of(new ViewTarget("odd", "s", null, "d", 3, true, 0, 0), range),
+				Arguments.of(new ViewTarget(null, "s", "127.0.0.1:1", "d", 3, true, 0, 0), range),
+				Arguments.of(new ViewTarget("odd", "s", "127.0.0.1:1", null, 3, true, 0, 0), range),
+				Arguments.of(target, new ViewRange(300, 200, "a")), Arguments.of(target, new ViewRange(-9, -1, "a")),
+				Arguments.of(target, new ViewRange(200, 99_999, "a")),
+				Arguments.of(target, new ViewRange(200, 300, null)));
+	}
+
 	private Outcome apply(FleetView update) throws Exception {
 		return this.view.apply(update, 0);
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
@@ -1,6 +1,7 @@
 package org.redwingramp.node.entry;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -18,6 +19,7 @@
 import org.redwingramp.node.api.ControlRequest;
 import org.redwingramp.node.api.GrantCall;
 import org.redwingramp.node.api.GrantReply;
+import org.redwingramp.node.api.InvalidDocumentException;
 import org.redwingramp.node.api.PlatformDialect;
 import org.redwingramp.node.api.RequestFields;
 import org.redwingramp.node.api.ResponseFields;
@@ -33,6 +35,9 @@
  */
 final class TestDialect implements PlatformDialect {
 
+	/** A configuration that this dialect can't read. */
+	static final byte[] UNREADABLE_DOCUMENT = { 0 };
+
 	static final long TIMEOUT_MILLIS = 600;
 
 	static final double COLD_PER_SECOND = 20;
@@ -102,7 +107,10 @@
 	}
 
 	@Override
-	public TrafficConfig config(byte[] document) {
+	public TrafficConfig config(byte[] document) throws InvalidDocumentException {
+		if (Arrays.equals(document, UNREADABLE_DOCUMENT)) {
+			throw new InvalidDocumentException("the configuration has a form that this build doesn't know");
+		}
 		return new TrafficConfig(1,
 				List.of(route("lookup", RequestKind.IDEMPOTENT, "s"), route("book", RequestKind.NON_IDEMPOTENT, "s"),
 						route("plain", RequestKind.IDEMPOTENT, "p")),
