Keep a replica's state when a power loss tears its sync mark

If a power loss tore the sync mark of a replica while another one had lost its disk, no majority was left and acknowledged changes could be gone.

Cause: the mark (28 bytes) was overwritten in place without a sync after each batch, relying on writes below one sector being atomic. A mark that didn't decode counted as damage, and the replica started empty.

Change: the durable mark is replaced atomically when a segment ends, at a compaction, at opening and at closing; the recent mark is overwritten in place and ignored if it is torn. The simulated disk now applies, drops or tears each unsynced write on its own.

--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/FileReplicaStore.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/FileReplicaStore.java
@@ -16,7 +16,7 @@
 
 /**
  * A replica store that consists of a segmented write-ahead log, one file per snapshot and
- * a sync mark, which holds the last position of the log that is known to be synced. Not
+ * two sync marks, which hold the last position of the log that is known to be synced. Not
  * thread safe.
  */
 public final class FileReplicaStore implements ReplicaStore {
@@ -192,7 +192,7 @@
 			this.files.rename(this.layout.pendingSnapshot(current), this.layout.snapshot(current));
 			this.files.syncFolder(this.layout.folder());
 		}
-		this.writer.flushSyncMark();
+		this.writer.writeDurableMark();
 		while (this.highestIndexBySegment.size() > 1
 				&& this.highestIndexBySegment.get(this.highestIndexBySegment.firstKey()) <= current) {
 			this.files.delete(this.layout.segment(this.highestIndexBySegment.firstKey()));
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Recovery.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/Recovery.java
@@ -67,8 +67,15 @@
 		if (!names.contains(StoreLayout.SYNC_MARK)) {
 			throw StoreErrors.corrupt(this.layout.syncMark(), 0, "the file is missing");
 		}
-		return SyncMark.decode(this.files.read(this.layout.syncMark(), SyncMark.MAX_BYTES))
+		SyncMark durable = SyncMark.decode(this.files.read(this.layout.syncMark(), SyncMark.MAX_BYTES))
 			.orElseThrow(() -> StoreErrors.corrupt(this.layout.syncMark(), 0, "the checksum doesn't match"));
+		return readRecentSyncMark(names).filter((recent) -> recent.compareTo(durable) > 0).orElse(durable);
+	}
+
+	// Empty if a power loss tore the mark.
+	private Optional<SyncMark> readRecentSyncMark(List<String> names) throws IOException {
+		return names.contains(StoreLayout.RECENT_SYNC_MARK)
+				? SyncMark.decode(this.files.read(this.layout.recentSyncMark(), SyncMark.MAX_BYTES)) : Optional.empty();
 	}
 
 	private void checkSegmentNumbers(List<Long> numbers, SyncMark syncMark) throws CorruptStorageException {
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/SegmentWriter.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/SegmentWriter.java
@@ -6,8 +6,8 @@
 import org.redwingramp.core.consensus.ReplicaId;
 
 /**
- * Appends batches to the last segment of the log and updates the sync mark. Invariant:
- * the sync mark never refers to a position that is not synced. Not thread safe.
+ * Appends batches to the last segment of the log and updates the sync marks. Invariant:
+ * no sync mark refers to a position that is not synced. Not thread safe.
  */
 final class SegmentWriter implements AutoCloseable {
 
@@ -15,7 +15,7 @@
 
 	private final StoreLayout layout;
 
-	private final StoreFiles.Output syncMarkOutput;
+	private final StoreFiles.Output recentMarkOutput;
 
 	private StoreFiles.Output segmentOutput;
 
@@ -23,12 +23,17 @@
 
 	private long endOffset;
 
+	// The last position of the log that is known to be synced.
+	private SyncMark synced;
+
+	private SyncMark durableMark;
+
 	SegmentWriter(StoreFiles files, StoreLayout layout, long segmentNumber, long endOffset) throws IOException {
 		this.files = files;
 		this.layout = layout;
 		this.segmentNumber = segmentNumber;
 		this.endOffset = endOffset;
-		this.syncMarkOutput = files.openForWriting(layout.syncMark());
+		this.recentMarkOutput = files.openForWriting(layout.recentSyncMark());
 		this.segmentOutput = files.openForWriting(layout.segment(segmentNumber));
 	}
 
@@ -44,8 +49,8 @@
 		}
 		this.segmentOutput.sync();
 		this.files.syncFolder(this.layout.folder());
-		writeSyncMark();
-		this.syncMarkOutput.sync();
+		this.synced = new SyncMark(this.segmentNumber, this.endOffset);
+		writeDurableMark();
 	}
 
 	long segmentNumber() {
@@ -57,31 +62,35 @@
 	}
 
 	/**
-	 * Flushes the sync mark to the disk. Must precede the deletion of segments, so that
-	 * after a power loss the mark doesn't refer to a deleted segment.
-	 * @throws IOException if it can't be flushed
+	 * Makes the sync mark durable. Must precede the deletion of segments, so that after a
+	 * power loss the mark doesn't refer to a deleted segment.
+	 * @throws IOException if it can't be written
 	 */
-	void flushSyncMark() throws IOException {
-		this.syncMarkOutput.sync();
+	void writeDurableMark() throws IOException {
+		if (!this.synced.equals(this.durableMark)) {
+			writeFileAtomically(this.files, this.layout.syncMark(), this.synced.encode());
+			this.durableMark = this.synced;
+		}
 	}
 
 	void append(Frame frame) throws IOException {
 		this.segmentOutput.write(frame.encode(), this.endOffset);
 		this.segmentOutput.sync();
 		this.endOffset += frame.encodedSize();
-		writeSyncMark();
+		this.synced = new SyncMark(this.segmentNumber, this.endOffset);
+		this.recentMarkOutput.write(this.synced.encode().encode(), 0);
 	}
 
 	/**
-	 * Starts the next segment. The sync mark is flushed first, so that it is at most one
-	 * segment behind. The header is synced before the file gets its final name, so that
-	 * every segment has a header.
+	 * Starts the next segment. The sync mark is made durable first, so that it is at most
+	 * one segment behind. The header is synced before the file gets its final name, so
+	 * that every segment has a header.
 	 * @param id the replica that owns the log
 	 * @param state the state of the log at the start of the segment
 	 * @throws IOException if the segment can't be created
 	 */
 	void roll(ReplicaId id, LogState state) throws IOException {
-		this.syncMarkOutput.sync();
+		writeDurableMark();
 		this.segmentOutput.close();
 		this.segmentNumber++;
 		this.endOffset = createSegment(this.files, this.layout, new SegmentHeader(id, this.segmentNumber, state));
@@ -120,15 +129,14 @@
 		files.syncFolder(file.getParent());
 	}
 
-	private void writeSyncMark() throws IOException {
-		this.syncMarkOutput.write(new SyncMark(this.segmentNumber, this.endOffset).encode().encode(), 0);
-	}
-
 	@Override
 	public void close() throws IOException {
 		try (StoreFiles.Output segmentToClose = this.segmentOutput;
-				StoreFiles.Output syncMarkToClose = this.syncMarkOutput) {
-			syncMarkToClose.sync();
+				StoreFiles.Output recentMarkToClose = this.recentMarkOutput) {
+			if (this.synced != null) {
+				writeDurableMark();
+				this.files.delete(this.layout.recentSyncMark());
+			}
 		}
 	}
 
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/StoreLayout.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/StoreLayout.java
@@ -17,6 +17,8 @@
 
 	static final String SYNC_MARK = "synced";
 
+	static final String RECENT_SYNC_MARK = "synced-recent";
+
 	static final String TEMPORARY_SUFFIX = ".tmp";
 
 	static final String DAMAGED_PREFIX = "damaged-";
@@ -46,6 +48,10 @@
 		return this.folder.resolve(SYNC_MARK);
 	}
 
+	Path recentSyncMark() {
+		return this.folder.resolve(RECENT_SYNC_MARK);
+	}
+
 	Path segment(long number) {
 		return this.folder.resolve(fileName(SEGMENT_PREFIX, number, SEGMENT_SUFFIX));
 	}
--- a/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/SyncMark.java
+++ b/redwingramp-storage/src/main/java/org/redwingramp/storage/internal/SyncMark.java
@@ -1,22 +1,32 @@
 package org.redwingramp.storage.internal;
 
+import java.util.Comparator;
 import java.util.Optional;
 
 /**
  * The position up to which the log is known to be synced. Recovery uses it to distinguish
  * a torn tail, which was never acknowledged, from damage to acknowledged batches. The
- * mark is overwritten in place after each sync of the log, usually without being flushed
- * itself, so after a power loss it may be behind the log but is never ahead of it. It
- * fits in one disk sector, so a write to it is never torn. Immutable and thread safe.
+ * mark is stored twice. The durable mark is replaced atomically, when a segment ends and
+ * when the store is closed. The recent mark is overwritten in place after each sync of
+ * the log, without being flushed itself, so a power loss may tear it; then it is ignored.
+ * Neither is ever ahead of the log. Immutable and thread safe.
  *
  * @param segment the number of the last segment
  * @param offset the end offset of the last synced batch in that segment, in bytes
  */
-record SyncMark(long segment, long offset) {
+record SyncMark(long segment, long offset) implements Comparable<SyncMark> {
 
-	/** The maximum size of the file, one disk sector. */
+	private static final Comparator<SyncMark> BY_POSITION = Comparator.comparingLong(SyncMark::segment)
+		.thenComparingLong(SyncMark::offset);
+
+	/** The maximum size of the file. */
 	static final int MAX_BYTES = 512;
 
+	@Override
+	public int compareTo(SyncMark other) {
+		return BY_POSITION.compare(this, other);
+	}
+
 	Frame encode() {
 		return new Frame(Frame.Type.MARK, Formats.encode((output) -> {
 			output.writeLong(this.segment);
--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/FaultTests.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/FaultTests.java
@@ -141,6 +141,52 @@
 		}
 	}
 
+	// Guards against a replica that discards its state because a power loss tore the
+	// sync mark, which is overwritten without a sync.
+	@Test
+	void shouldKeepAcknowledgedStateWhenThePowerLossTearsTheSyncMark() throws Exception {
+		int tornMarks = 0;
+		for (int i = 0; i < 200; i++) {
+			MemoryFiles files = new MemoryFiles();
+			ReplicaStore running = open(files);
+			running.persist(Samples.appendBatch(1, 4));
+			running.persist(Samples.appendBatch(5, 9));
+			MemoryFiles remaining = files.afterPowerLoss(this.random);
+			tornMarks += holdsTornMark(remaining) ? 1 : 0;
+			try (ReplicaStore store = open(remaining)) {
+				assertThat(store.load().entries()).hasSize(9);
+			}
+		}
+		assertThat(tornMarks).isGreaterThan(20);
+	}
+
+	private boolean holdsTornMark(MemoryFiles files) throws IOException {
+		for (String name : files.list(this.root)) {
+			boolean mark = name.startsWith(StoreLayout.SYNC_MARK);
+			if (mark && SyncMark.decode(files.read(this.root.resolve(name), SyncMark.MAX_BYTES)).isEmpty()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	// Guards against a lost acknowledged batch that is mistaken for a torn tail after the
+	// process was killed, when only the recent sync mark covers it.
+	@Test
+	void shouldDetectALostBatchAfterTheProcessWasKilled() throws Exception {
+		Path folder = createHistory("running");
+		Path last = lastSegment(folder);
+		byte[] data = Files.readAllBytes(last);
+		try (ReplicaStore store = open(folder)) {
+			store.persist(Samples.appendBatch(27, 30));
+			copyFolder(folder, "killed");
+		}
+		Path killed = this.root.resolve("killed");
+		assertThat(reopen(copyFolder(killed, "intact")).entries()).hasSize(8);
+		Files.write(killed.resolve(last.getFileName()), data);
+		assertCorrupt(killed, last);
+	}
+
 	// Guards against a file with a flipped bit that is read as valid state.
 	@Test
 	void shouldDetectFlippedBits() throws Exception {
--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/MemoryFiles.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/MemoryFiles.java
@@ -16,7 +16,7 @@
  * A simulated disk in memory that tracks which changes are synced, fails from a given
  * change on and can lose unsynced changes. Each file that was created, renamed or deleted
  * without a sync of the folder is lost or kept on its own, as on file systems without a
- * journal; any part of the bytes that were appended without a sync may be lost. Not
+ * journal; each write that wasn't synced is present, missing or torn on its own. Not
  * thread safe.
  */
 final class MemoryFiles implements StoreFiles {
@@ -61,9 +61,19 @@
 		this.firstFailure = Integer.MAX_VALUE;
 	}
 
+	/**
+	 * Returns the state of the disk after a power loss that undoes all unsynced changes.
+	 * @return the disk after the power loss
+	 */
+	MemoryFiles withoutUnsyncedChanges() {
+		Map<Path, Content> remaining = new TreeMap<>();
+		this.syncedNames.forEach((path, content) -> remaining.put(path, new Content(content.synced)));
+		return new MemoryFiles(remaining);
+	}
+
 	/**
 	 * Returns a possible state of the disk after a power loss.
-	 * @param random chooses the unsynced changes that are lost
+	 * @param random chooses the unsynced changes that are lost or torn
 	 * @return the disk after the power loss
 	 */
 	MemoryFiles afterPowerLoss(Random random) {
@@ -148,8 +158,11 @@
 		};
 	}
 
+	/** The content of a file and the changes to it since its last sync. */
 	private static final class Content {
 
+		private final List<ContentChange> unsynced = new ArrayList<>();
+
 		private byte[] current;
 
 		private byte[] synced;
@@ -159,19 +172,71 @@
 			this.synced = bytes;
 		}
 
+		void change(ContentChange change) {
+			this.current = change.apply(this.current);
+			this.unsynced.add(change);
+		}
+
+		void sync() {
+			this.synced = this.current;
+			this.unsynced.clear();
+		}
+
+		// Each unsynced change is present, missing or torn, independently of the others.
 		byte[] afterPowerLoss(Random random) {
-			if (this.current.length <= this.synced.length) {
-				return random.nextBoolean() ? this.current : this.synced;
+			byte[] remaining = this.synced;
+			for (ContentChange change : this.unsynced) {
+				if (random.nextInt(3) > 0) {
+					ContentChange kept = random.nextBoolean() ? change : change.torn(random);
+					remaining = kept.apply(remaining);
+				}
 			}
-			int size = this.synced.length + random.nextInt(this.current.length - this.synced.length + 1);
-			byte[] remaining = Arrays.copyOf(this.current, size);
-			int lostFrom = this.synced.length + random.nextInt(size - this.synced.length + 1);
-			Arrays.fill(remaining, lostFrom, lostFrom + random.nextInt(size - lostFrom + 1), (byte) 0);
 			return remaining;
 		}
 
 	}
 
+	/** A change of the content of a file. */
+	private sealed interface ContentChange {
+
+		byte[] apply(byte[] content);
+
+		ContentChange torn(Random random);
+
+	}
+
+	private record Write(int position, byte[] data) implements ContentChange {
+
+		@Override
+		public byte[] apply(byte[] content) {
+			byte[] changed = Arrays.copyOf(content, Math.max(content.length, this.position + this.data.length));
+			System.arraycopy(this.data, 0, changed, this.position, this.data.length);
+			return changed;
+		}
+
+		@Override
+		public ContentChange torn(Random random) {
+			int from = random.nextInt(this.data.length + 1);
+			int to = from + random.nextInt(this.data.length - from + 1);
+			return new Write(this.position + from, Arrays.copyOfRange(this.data, from, to));
+		}
+
+	}
+
+	private record Truncation(int size) implements ContentChange {
+
+		@Override
+		public byte[] apply(byte[] content) {
+			return Arrays.copyOf(content, this.size);
+		}
+
+		@Override
+		public ContentChange torn(Random random) {
+			return this;
+		}
+
+	}
+
 	private final class MemoryOutput implements Output {
 
 		private final Content content;
@@ -183,26 +248,22 @@
 		@Override
 		public void write(ByteBuffer data, long position) throws IOException {
 			boolean failing = MemoryFiles.this.changes + 1 == MemoryFiles.this.firstFailure;
-			int count = failing ? data.remaining() / 2 : data.remaining();
-			int end = (int) position + count;
-			byte[] changed = Arrays.copyOf(this.content.current, Math.max(this.content.current.length, end));
-			data.get(changed, (int) position, count);
-			// The sync mark fits in one disk sector, so a write to it is never torn.
-			this.content.current = (failing && position == 0 && this.content.current.length > 0) ? this.content.current
-					: changed;
+			byte[] written = new byte[failing ? data.remaining() / 2 : data.remaining()];
+			data.get(written);
+			this.content.change(new Write((int) position, written));
 			countChange();
 		}
 
 		@Override
 		public void truncate(long size) throws IOException {
 			countChange();
-			this.content.current = Arrays.copyOf(this.content.current, (int) size);
+			this.content.change(new Truncation((int) size));
 		}
 
 		@Override
 		public void sync() throws IOException {
 			countChange();
-			this.content.synced = this.content.current;
+			this.content.sync();
 		}
 
 		@Override
