Limit the memory of many small incomplete bodies together

Callers saw (as reported by operators of similar systems): targets that sent bodies without end used up the memory of an entry instance, which ended the requests of all its callers.

Cause: a body above 256 KiB failed once all bodies together used up 24 MiB, but smaller ones weren't limited in total, and those of internal calls (up to 64 KiB each) not at all. Besides, a body was held in an array that doubles, so the memory used was up to twice the memory that was counted.

Change: BodyMemoryLimit has a total limit. Small bodies may use what remains below it, each at most as much as remains afterwards, so that many share it. BodyBuffer collects a body of unknown length in parts of the size received.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/BodyBuffer.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/BodyBuffer.java
@@ -1,20 +1,22 @@
 package org.redwingramp.node.http;
 
 import java.nio.ByteBuffer;
-import java.util.Arrays;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
- * Collects the bytes of one message body. It holds them once: a body of known length is
- * collected in the array that is handed out. Not thread safe.
+ * Collects the bytes of one message body. Invariants: a body of known length is collected
+ * in the array that is handed out; any other is collected in parts, so that the memory
+ * used exceeds the size of the body by less than {@value #MIN_PART_BYTES} bytes until it
+ * is handed out. Not thread safe.
  */
 final class BodyBuffer {
 
 	private static final byte[] EMPTY = {};
 
-	/** Arrays grow to at least this size, unless the body is known to be smaller. */
-	private static final int MIN_CAPACITY = 1024;
+	private static final int MIN_PART_BYTES = 1024;
 
-	private byte[] bytes = EMPTY;
+	private final List<ByteBuffer> parts = new ArrayList<>();
 
 	private int size;
 
@@ -30,32 +32,51 @@
 	}
 
 	void append(ByteBuffer data) {
-		int added = data.remaining();
-		ensureCapacity(this.size + added);
-		data.get(this.bytes, this.size, added);
-		this.size += added;
+		this.size += data.remaining();
+		if (!this.parts.isEmpty()) {
+			fill(last(), data);
+		}
+		if (data.hasRemaining()) {
+			int expected = this.parts.isEmpty() ? this.expectedSize : 0;
+			int minimum = (expected > 0) ? expected : MIN_PART_BYTES;
+			this.parts.add(ByteBuffer.allocate(Math.max(minimum, data.remaining())));
+			fill(last(), data);
+		}
 	}
 
 	// Hands out the body and leaves the buffer empty, without memory of its own.
 	byte[] take() {
-		byte[] body = (this.size == this.bytes.length) ? this.bytes : Arrays.copyOf(this.bytes, this.size);
+		byte[] body = assemble();
 		clear();
 		return body;
 	}
 
 	void clear() {
-		this.bytes = EMPTY;
+		this.parts.clear();
 		this.size = 0;
 		this.expectedSize = 0;
 	}
 
-	private void ensureCapacity(int needed) {
-		if (needed <= this.bytes.length) {
-			return;
+	private byte[] assemble() {
+		if (this.size == 0) {
+			return EMPTY;
 		}
-		int next = (needed <= this.expectedSize) ? this.expectedSize
-				: Math.max(needed, Math.max(MIN_CAPACITY, this.bytes.length * 2));
-		this.bytes = Arrays.copyOf(this.bytes, next);
+		if (this.parts.size() == 1 && !last().hasRemaining()) {
+			return last().array();
+		}
+		ByteBuffer body = ByteBuffer.allocate(this.size);
+		this.parts.forEach((part) -> body.put(part.flip()));
+		return body.array();
+	}
+
+	private ByteBuffer last() {
+		return this.parts.get(this.parts.size() - 1);
+	}
+
+	private static void fill(ByteBuffer part, ByteBuffer data) {
+		int length = Math.min(part.remaining(), data.remaining());
+		part.put(data.slice(data.position(), length));
+		data.position(data.position() + length);
 	}
 
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/BodyMemoryLimit.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/BodyMemoryLimit.java
@@ -3,8 +3,10 @@
 /**
  * Limits the memory used by the bodies of requests or responses that are in progress.
  * Once all bodies together use up the shared limit, only small ones may grow further, so
- * that a few large ones don't keep out everything else. Invariant: each reserved byte is
- * released once. Not thread safe; it is confined to the event loop's thread.
+ * that a few large ones don't keep out everything else. They may be the smaller the more
+ * of the total limit is in use, so that many of them together don't exceed it either.
+ * Invariants: no more than the total limit is reserved; each reserved byte is released
+ * once. Not thread safe; it is confined to the event loop's thread.
  */
 public final class BodyMemoryLimit {
 
@@ -19,27 +21,39 @@
 	/** A quarter of the initial heap of an entry instance in production. */
 	private static final long MAX_SHARED_RESPONSE_BYTES = 24L * 1024 * 1024;
 
+	private static final long MAX_TOTAL_RESPONSE_BYTES = 32L * 1024 * 1024;
+
+	private static final long MAX_SHARED_CALL_RESPONSE_BYTES = 4L * 1024 * 1024;
+
+	private static final long MAX_TOTAL_CALL_RESPONSE_BYTES = 6L * 1024 * 1024;
+
 	/** Typical responses in production have a few kilobytes. */
 	private static final int SMALL_RESPONSE_BYTES = 256 * 1024;
 
 	/** Share of the heap that the bodies of requests may use. */
 	private static final double REQUEST_HEAP_SHARE = 0.45;
 
+	/** What small requests may use beyond that, as a fraction of it. */
+	private static final double SMALL_REQUESTS_FRACTION = 0.125;
+
 	private static final int SMALL_REQUEST_BYTES = 64 * 1024;
 
 	private final long maxBodyBytes;
 
 	private final long maxSharedBytes;
 
+	private final long maxTotalBytes;
+
 	private final long smallBodyBytes;
 
 	private long reserved;
 
 	private long refused;
 
-	private BodyMemoryLimit(long maxBodyBytes, long maxSharedBytes, long smallBodyBytes) {
+	private BodyMemoryLimit(long maxBodyBytes, long maxSharedBytes, long maxTotalBytes, long smallBodyBytes) {
 		this.maxBodyBytes = maxBodyBytes;
 		this.maxSharedBytes = maxSharedBytes;
+		this.maxTotalBytes = maxTotalBytes;
 		this.smallBodyBytes = smallBodyBytes;
 	}
 
@@ -48,7 +62,8 @@
 	 * @return the memory limit
 	 */
 	public static BodyMemoryLimit forTargetResponses() {
-		return new BodyMemoryLimit(MAX_RESPONSE_BYTES, MAX_SHARED_RESPONSE_BYTES, SMALL_RESPONSE_BYTES);
+		return new BodyMemoryLimit(MAX_RESPONSE_BYTES, MAX_SHARED_RESPONSE_BYTES, MAX_TOTAL_RESPONSE_BYTES,
+				SMALL_RESPONSE_BYTES);
 	}
 
 	/**
@@ -56,7 +71,8 @@
 	 * @return the memory limit
 	 */
 	public static BodyMemoryLimit forInternalCalls() {
-		return new BodyMemoryLimit(MAX_CALL_RESPONSE_BYTES, MAX_SHARED_RESPONSE_BYTES, SMALL_RESPONSE_BYTES);
+		return new BodyMemoryLimit(MAX_CALL_RESPONSE_BYTES, MAX_SHARED_CALL_RESPONSE_BYTES,
+				MAX_TOTAL_CALL_RESPONSE_BYTES, MAX_CALL_RESPONSE_BYTES);
 	}
 
 	/**
@@ -70,11 +86,13 @@
 	/**
 	 * Creates a limit for requests. The size of a single body is limited by the
 	 * configuration.
-	 * @param maxBytes the number of bytes for all bodies together
+	 * @param maxBytes the number of bytes for all bodies together, apart from an eighth
+	 * more for small ones
 	 * @return the memory limit
 	 */
 	public static BodyMemoryLimit forRequests(long maxBytes) {
-		return new BodyMemoryLimit(Long.MAX_VALUE, maxBytes, SMALL_REQUEST_BYTES);
+		return new BodyMemoryLimit(Long.MAX_VALUE, maxBytes, (long) (maxBytes * (1 + SMALL_REQUESTS_FRACTION)),
+				SMALL_REQUEST_BYTES);
 	}
 
 	/**
@@ -97,8 +115,9 @@
 	// already. Returns false, without a reservation, if a limit would be exceeded.
 	boolean reserve(long reservedBefore, long additional) {
 		long size = reservedBefore + additional;
-		boolean exceedsSharedLimit = size > this.smallBodyBytes && this.reserved + additional > this.maxSharedBytes;
-		if (size > this.maxBodyBytes || exceedsSharedLimit) {
+		long total = this.reserved + additional;
+		long maxSmall = Math.min(this.smallBodyBytes, this.maxTotalBytes - total);
+		if (size > this.maxBodyBytes || (total > this.maxSharedBytes && size > maxSmall)) {
 			this.refused++;
 			return false;
 		}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessResponseTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/EndlessResponseTests.java
@@ -41,10 +41,20 @@
 
 	private static final int PARALLEL_CALLS = 40;
 
+	private static final int MANY_PARALLEL_CALLS = 400;
+
+	/** Less than the limit up to which a body counts as small. */
+	private static final int SMALL_BODY_BYTES = 240 * 1024;
+
+	private static final int SMALL_INTERNAL_BODY_BYTES = 60 * 1024;
+
 	/** Half of the heap of an entry instance. */
 	private static final long MAX_INCOMPLETE_RESPONSE_BYTES = 48L * 1024 * 1024;
 
-	private final BodyMemoryLimit memory = BodyMemoryLimit.forTargetResponses();
+	/** A sixth of the heap of a control replica. */
+	private static final long MAX_INTERNAL_RESPONSE_BYTES = 16L * 1024 * 1024;
+
+	private BodyMemoryLimit memory = BodyMemoryLimit.forTargetResponses();
 
 	@RegisterExtension
 	final LoopExtension loops = new LoopExtension();
@@ -74,21 +84,24 @@
 	/** Guards against many endless bodies that exhaust the memory together. */
 	@Test
 	void shouldLimitMemoryOfManyEndlessBodies() throws Exception {
-		try (EndlessTarget target = new EndlessTarget(EndlessResponse.BODY_UNFRAMED.start,
-				EndlessResponse.BODY_UNFRAMED.repeated)) {
-			List<CompletableFuture<Object>> calls = new ArrayList<>();
-			for (int i = 0; i < PARALLEL_CALLS; i++) {
-				calls.add(call(target));
-			}
-			long maxReservedBytes = 0;
-			while (!calls.stream().allMatch(CompletableFuture::isDone)) {
-				maxReservedBytes = Math.max(maxReservedBytes, reservedBytes());
-				Thread.sleep(5);
-			}
-			assertThat(calls).allSatisfy((call) -> assertThat(call.get()).isInstanceOf(CallFailure.class));
-			assertThat(maxReservedBytes).isLessThan(MAX_INCOMPLETE_RESPONSE_BYTES);
-			assertThat(reservedBytes()).isZero();
-		}
+		assertThat(maxReservedBytes(PARALLEL_CALLS, Long.MAX_VALUE)).isLessThan(MAX_INCOMPLETE_RESPONSE_BYTES);
+	}
+
+	/**
+	 * Guards against hundreds of slow endless bodies that exhaust the memory although
+	 * each of them is small.
+	 */
+	@Test
+	void shouldLimitMemoryOfHundredsOfEndlessBodies() throws Exception {
+		assertThat(maxReservedBytes(MANY_PARALLEL_CALLS, SMALL_BODY_BYTES)).isLessThan(MAX_INCOMPLETE_RESPONSE_BYTES);
+	}
+
+	/** Guards against endless responses to the calls of control replicas. */
+	@Test
+	void shouldLimitMemoryOfHundredsOfEndlessResponsesToInternalCalls() throws Exception {
+		this.memory = BodyMemoryLimit.forInternalCalls();
+		assertThat(maxReservedBytes(MANY_PARALLEL_CALLS, SMALL_INTERNAL_BODY_BYTES))
+			.isLessThan(MAX_INTERNAL_RESPONSE_BYTES);
 	}
 
 	/** Guards against rejecting a valid response while endless ones use up the limit. */
@@ -108,6 +121,26 @@
 		}
 	}
 
+	// Makes calls at once that all receive an endless body, and returns the most memory
+	// that was reserved for the responses.
+	private long maxReservedBytes(int parallelCalls, long fastBytes) throws Exception {
+		try (EndlessTarget target = new EndlessTarget(EndlessResponse.BODY_UNFRAMED.start,
+				EndlessResponse.BODY_UNFRAMED.repeated, fastBytes)) {
+			List<CompletableFuture<Object>> calls = new ArrayList<>();
+			for (int i = 0; i < parallelCalls; i++) {
+				calls.add(call(target));
+			}
+			long maxReservedBytes = 0;
+			while (!calls.stream().allMatch(CompletableFuture::isDone)) {
+				maxReservedBytes = Math.max(maxReservedBytes, reservedBytes());
+				Thread.sleep(1);
+			}
+			assertThat(calls).allSatisfy((call) -> assertThat(call.get()).isInstanceOf(CallFailure.class));
+			assertThat(reservedBytes()).isZero();
+			return maxReservedBytes;
+		}
+	}
+
 	private long reservedBytes() throws Exception {
 		return LoopThread.query(this.loops.loop(), this.memory::reservedBytes);
 	}
@@ -160,13 +193,15 @@
 
 	/**
 	 * A target that sends the same text repeatedly on each connection until the
-	 * connection is closed. Thread safe.
+	 * connection is closed, after a number of bytes only slowly. Thread safe.
 	 */
 	private static final class EndlessTarget implements AutoCloseable {
 
 		private static final int REPETITIONS = 20_000;
 
-		private final ServerSocket server = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+		private static final long SLOW_INTERVAL_MILLIS = 100;
+
+		private final ServerSocket server = new ServerSocket(0, 1000, InetAddress.getLoopbackAddress());
 
 		private final AtomicInteger open = new AtomicInteger();
 
@@ -174,7 +209,14 @@
 
 		private final byte[] repeated;
 
+		private final long fastBytes;
+
 		EndlessTarget(String start, String repeated) throws IOException {
+			this(start, repeated, Long.MAX_VALUE);
+		}
+
+		EndlessTarget(String start, String repeated, long fastBytes) throws IOException {
+			this.fastBytes = fastBytes;
 			this.start = start.getBytes(StandardCharsets.US_ASCII);
 			this.repeated = repeated.repeat(REPETITIONS).getBytes(StandardCharsets.US_ASCII);
 			startThread(this::accept);
@@ -211,11 +253,15 @@
 		private void send(Socket socket) {
 			try (socket; OutputStream out = socket.getOutputStream()) {
 				out.write(this.start);
-				while (true) {
+				for (long sent = 0; sent + this.repeated.length <= this.fastBytes; sent += this.repeated.length) {
 					out.write(this.repeated);
 				}
+				while (true) {
+					out.write(this.repeated[0]);
+					Thread.sleep(SLOW_INTERVAL_MILLIS);
+				}
 			}
-			catch (IOException ex) {
+			catch (IOException | InterruptedException ex) {
 				this.open.decrementAndGet();
 			}
 		}
