Refuse the broadcast address as the address of a target

A heartbeat with the address 255.255.255.255 was acknowledged, although no connection can be opened to it: each request that was sent to such a target, and each grant, failed. TargetAddress refuses it like multicast addresses, both when a heartbeat is read and when an entry instance reads a view.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetAddress.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetAddress.java
@@ -3,6 +3,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -22,6 +23,8 @@
 
 	private static final int MAX_PORT = 65_535;
 
+	private static final byte[] BROADCAST = { -1, -1, -1, -1 };
+
 	private TargetAddress() {
 	}
 
@@ -50,7 +53,8 @@
 	private static Optional<InetSocketAddress> address(byte[] octets, int port) {
 		try {
 			InetAddress host = InetAddress.getByAddress(octets);
-			return host.isMulticastAddress() ? Optional.empty() : Optional.of(new InetSocketAddress(host, port));
+			boolean oneHost = !host.isMulticastAddress() && !Arrays.equals(octets, BROADCAST);
+			return oneHost ? Optional.of(new InetSocketAddress(host, port)) : Optional.empty();
 		}
 		catch (UnknownHostException ex) {
 			throw new IllegalStateException("an IPv4 address has " + octets.length + " bytes", ex);
