Test that no lease is renewed while its owner's removal is pending

Cause: without HeartbeatDelivery's question for a pending change of the owner, a target that was taken for lost and sends a heartbeat while the command is being committed keeps its keys beside their next owner.

Change: a test only.

Evidence: fails with the question removed (the reply has the whole range), passes with it.

--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatDeliveryTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatDeliveryTests.java
@@ -35,6 +35,9 @@
 	/** The receiver counts as reachable for this long. */
 	private static final int MAX_MOVE_STEPS = 10;
 
+	/** Longer than the silence after which a target is taken for lost. */
+	private static final int MAX_SILENT_STEPS = 200;
+
 	private static final long STEP_MILLIS = 100;
 
 	private final HeartbeatFleet fleet = new HeartbeatFleet(1, 0);
@@ -105,6 +108,24 @@
 		assertThat(released).isPositive();
 	}
 
+	/**
+	 * Guards against two owners of the same keys: a target that was taken for lost has
+	 * its lease renewed while the command that takes its keys away is being committed.
+	 */
+	@Test
+	void shouldGrantNothingWhileTheRemovalOfTheTargetIsPending() {
+		assign(new Move(new KeyRange(0, KeyRange.KEYS - 1), target("t-0").owner()));
+		this.rangesReported = true;
+		assertThat(renewal(target("t-0"))).isNotEmpty();
+		for (int i = 0; i < MAX_SILENT_STEPS; i++) {
+			this.fleet.now += STEP_MILLIS * 1_000_000;
+			heartbeat(target("t-1"));
+			this.fleet.controller.tick(this.fleet.now);
+		}
+		assertThat(this.fleet.state.target("t-0")).as("the removal is not committed").isPresent();
+		assertThat(renewal(target("t-0"))).isEmpty();
+	}
+
 	private boolean moving() {
 		return this.fleet.decisions.stream().anyMatch((decision) -> decision.startsWith("move"));
 	}
