Refuse heartbeats and evacuations that name no failure domain of the fleet

What operators saw: a heartbeat of another program with any text as its failure domain was acknowledged and added a target. An evacuation of any name was recorded in the replicated state and never removed.

Cause: control replicas didn't know the failure domains, although the settings list them.

Change: the domains of the settings are passed to the controller. A heartbeat must name one of them, or, from a recorded incarnation, the domain that is recorded. To take an unknown domain out is refused, unless a target is in it; to put one back changes nothing and is acknowledged as before. Domains that a reload no longer lists stay known, so that an incomplete file refuses no target. If the settings list none, any domain is accepted.

Evidence: FleetControllerTests.shouldObjectToHeartbeatsFromUnknownFailureDomains and ControlNodeTests.shouldRefuseToTakeAnUnknownFailureDomainOut fail with the checks taken out.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -103,6 +103,8 @@
 
 	private Set<String> services = Set.of();
 
+	private Set<String> domains = Set.of();
+
 	private Map<String, GrantMode> shardedServices = Map.of();
 
 	private long lastBalanceNanos;
@@ -145,6 +147,25 @@
 			.collect(Collectors.toUnmodifiableMap(ServiceSpec::name, ServiceSpec::grantMode));
 	}
 
+	/**
+	 * Sets the failure domains of the fleet. Until then, targets of any domain are
+	 * accepted.
+	 * @param known the names of all failure domains, empty if they aren't known
+	 */
+	public void failureDomains(Collection<String> known) {
+		this.domains = Set.copyOf(known);
+	}
+
+	/**
+	 * Returns whether a failure domain may have targets, now or later.
+	 * @param domain the name of the failure domain
+	 * @return whether it belongs to the fleet or a recorded target is in it
+	 */
+	public boolean knowsDomain(String domain) {
+		return this.domains.isEmpty() || this.domains.contains(domain)
+				|| this.state.targets().stream().anyMatch((target) -> target.domain().equals(domain));
+	}
+
 	/**
 	 * Returns why a heartbeat can't come from a target of this fleet. Such a heartbeat
 	 * must be neither processed nor acknowledged: it says nothing about any target.
@@ -154,7 +175,7 @@
 	 */
 	public Optional<String> objectionTo(TargetHeartbeat heartbeat, long wallMillis) {
 		return HeartbeatCheck.objection(heartbeat.target(), this.state.target(heartbeat.target().name()), this.services,
-				wallMillis);
+				this.domains, wallMillis);
 	}
 
 	/**
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/HeartbeatCheck.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/HeartbeatCheck.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Tells heartbeats of the fleet's targets from those that other programs send. What the
@@ -19,22 +20,25 @@
 	}
 
 	// Returns why the description can't come from a target, empty if it can. A known
-	// target may belong to a service that the configuration no longer names.
+	// target may belong to a service that the configuration no longer names. Without any
+	// failure domains, all are accepted.
 	static Optional<String> objection(FleetTarget described, Optional<FleetTarget> known, Set<String> services,
-			long wallMillis) {
+			Set<String> domains, long wallMillis) {
 		Optional<FleetTarget> running = known.filter((target) -> target.born() == described.born());
 		if (running.isPresent()) {
 			boolean same = running.get().stage() == FleetTarget.Stage.LEFT
 					|| running.get().service().equals(described.service())
-							&& running.get().address().equals(described.address());
-			return same ? Optional.empty()
-					: Optional.of("target " + described.name() + " is registered with service "
-							+ running.get().service() + " at " + running.get().address() + " (was "
-							+ described.service() + " at " + described.address() + ")");
+							&& running.get().address().equals(described.address())
+							&& running.get().domain().equals(described.domain());
+			return same ? Optional.empty() : Optional.of("target " + described.name() + " is registered with "
+					+ place(running.get()) + " (was " + place(described) + ")");
 		}
 		if (!services.contains(described.service())) {
 			return Optional.of("service " + described.service() + " isn't named by the configuration in force");
 		}
+		if (!domains.isEmpty() && !domains.contains(described.domain())) {
+			return Optional.of("failure domain " + described.domain() + " isn't one of " + new TreeSet<>(domains));
+		}
 		if (described.born() - wallMillis > MAX_CLOCK_LEAD_MILLIS) {
 			return Optional.of("the start time " + described.born() + " of target " + described.name()
 					+ " is in the future (time here: " + wallMillis + ")");
@@ -42,4 +46,8 @@
 		return Optional.empty();
 	}
 
+	private static String place(FleetTarget target) {
+		return "service " + target.service() + " at " + target.address() + " in " + target.domain();
+	}
+
 }
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -70,6 +70,27 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against targets of another program's entries that name no failure domain.
+	 */
+	@Test
+	void shouldObjectToHeartbeatsFromUnknownFailureDomains() {
+		FleetTarget known = this.fleet.state.target("t-1").orElseThrow();
+		FleetTarget stranger = new FleetTarget("t-9", 1, "s", "10.0.0.9:80", "nowhere", 3, Stage.SERVING);
+		assertThat(objectionTo(stranger)).isEmpty();
+		this.fleet.controller.failureDomains(List.of(known.domain()));
+		assertThat(objectionTo(stranger)).isPresent();
+		assertThat(objectionTo(known)).isEmpty();
+		assertThat(objectionTo(new FleetTarget("t-1", 1, "s", known.address(), "nowhere", 3, Stage.SERVING)))
+			.isPresent();
+		this.fleet.controller.failureDomains(List.of(known.domain(), "nowhere"));
+		assertThat(objectionTo(stranger)).isEmpty();
+	}
+
+	private Optional<String> objectionTo(FleetTarget target) {
+		return this.fleet.controller.objectionTo(new TargetHeartbeat(target, 0, 1, KeyReport.EMPTY), 0);
+	}
+
 	private void reportLeaving(Owner owner) {
 		this.fleet.controller.report("front-1", new EntryReport(List.of(), List.of(), List.of(), List.of(owner)),
 				this.fleet.now);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -116,6 +118,8 @@
 
 	private final LeaderViewSource viewSource = new LeaderViewSource();
 
+	private final Set<String> failureDomains;
+
 	private Optional<FleetController> controller = Optional.empty();
 
 	// The term in which the controller was created.
@@ -138,6 +142,7 @@
 		this.replica = new ReplicaHost(loop, settings, events, diskExecutor);
 		this.calls = new TargetCalls(loop, dialect, this::mayAct);
 		this.entries = new EntrySessions(loop, events);
+		this.failureDomains = new HashSet<>(settings.failureDomains());
 	}
 
 	/**
@@ -192,6 +197,15 @@
 		this.replica.addPeers(seeds);
 	}
 
+	/**
+	 * Adds failure domains whose targets are accepted. Those that are already known stay.
+	 * @param added the names of the failure domains
+	 */
+	public void addFailureDomains(Set<String> added) {
+		this.failureDomains.addAll(added);
+		this.controller.ifPresent((activeController) -> activeController.failureDomains(this.failureDomains));
+	}
+
 	// Accepts calls of targets and operators only once a leader is known or the deadline
 	// has passed. Earlier calls would have to be refused as unavailable, and the work for
 	// these responses would delay the election.
@@ -277,6 +291,7 @@
 		FleetState state = this.replica.state();
 		this.controllerTerm = this.replica.term();
 		this.controller = Optional.of(new FleetController(state, new Output(), LeaseTiming.DEFAULT, System.nanoTime()));
+		this.controller.get().failureDomains(this.failureDomains);
 		loadConfig();
 		// Entry instances refuse all requests until they have a view, so it is sent
 		// before the controller's first round.
@@ -477,9 +492,7 @@
 			commit(activeController.leave(leave.target(), leave.born()), reply);
 		}
 		else if (call instanceof ControlRequest.SetDomainOut change) {
-			boolean alreadyApplied = this.replica.state().domainsOut().contains(change.domain()) == change.out();
-			commit(alreadyApplied ? Optional.empty()
-					: Optional.of(new FleetCommand.SetDomainOut(change.domain(), change.out())), reply);
+			setDomainOut(change, reply);
 		}
 		else if (call instanceof ControlRequest.ReplaceConfig replace) {
 			replaceConfig(replace, reply);
@@ -491,6 +504,19 @@
 		}
 	}
 
+	private void setDomainOut(ControlRequest.SetDomainOut change, Consumer<ControlAnswer> reply) {
+		if (this.replica.state().domainsOut().contains(change.domain()) == change.out()) {
+			reply.accept(accepted());
+		}
+		else if (change.out() && !this.controller.orElseThrow().knowsDomain(change.domain())) {
+			reply.accept(ControlAnswer.of(Kind.INVALID,
+					"failure domain " + change.domain() + " isn't named by the settings, and no target is in it"));
+		}
+		else {
+			commit(Optional.of(new FleetCommand.SetDomainOut(change.domain(), change.out())), reply);
+		}
+	}
+
 	private void commit(Optional<FleetCommand> command, Consumer<ControlAnswer> reply) {
 		if (command.isEmpty()) {
 			reply.accept(accepted());
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -75,7 +76,7 @@
 		EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
 		EventWriter events = new EventWriter(this.log, name);
 		ControlSettings settings = new ControlSettings(name, name, new InetSocketAddress(name, this.port),
-				this.peerPort, this.seeds, mayFormGroup, this.toleratedLosses, this.folder.resolve(name),
+				this.peerPort, this.seeds, Set.of("d"), mayFormGroup, this.toleratedLosses, this.folder.resolve(name),
 				System.nanoTime());
 		CompletableFuture<Void> ended = new CompletableFuture<>();
 		StallingDisk disk = new StallingDisk(name);
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
@@ -86,6 +86,16 @@
 		}
 	}
 
+	/** Guards against a replicated state that grows with each name in a path. */
+	@Test
+	void shouldRefuseToTakeAnUnknownFailureDomainOut() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST)) {
+			assertThat(control.call("out d")).startsWith("ACCEPTED");
+			assertThat(control.call("out d")).startsWith("ACCEPTED");
+			assertThat(control.call("out nowhere")).startsWith("INVALID");
+		}
+	}
+
 	/**
 	 * Guards against replicas whose memory and disk hold hundreds of large
 	 * configurations, since they compact only after a number of entries.
