Refuse requests that a planned stop would cut

Callers saw: requests that an entry instance took while it was stopping were passed on to targets and cut without an answer at the end of the grace period, among them bookings; requests that only waited for an owner were cut as well.

Cause: the check against the end of the stop applied from 2.6 s after the signal, which is never with a grace period of 2 s, and only to requests that had just arrived. The process ended without answers to those in flight.

Change: bookings with a deadline after the end are refused from the signal on, lookups from the middle of the time left at the latest. The check is repeated before each attempt and for requests that wait. What is still at a target at nine tenths of the grace period is answered with 502.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -75,11 +75,23 @@
 	private static final long STALE_CHECK_INTERVAL_NANOS = 1000 * MILLISECOND;
 
 	/**
-	 * The fraction of the grace period after which the process stops although requests
-	 * are in flight. The rest is for the exit of the process on a busy machine.
+	 * The fraction of the grace period after which requests that are still in flight are
+	 * broken off.
 	 */
 	private static final double GRACE_FRACTION = 0.9;
 
+	/**
+	 * The fraction of the grace period after which the process stops although callers
+	 * still read responses. The rest is for the exit of the process on a busy machine.
+	 */
+	private static final double WRITE_GRACE_FRACTION = 0.95;
+
+	/**
+	 * The fraction of the time until then in which a request that may be repeated is
+	 * accepted with a later deadline, since it is likely to be answered in time.
+	 */
+	private static final double LATE_DEADLINE_FRACTION = 0.5;
+
 	/** The weight of a new response in the moving average of a route's response time. */
 	private static final double ROUTE_AVERAGE_WEIGHT = 0.03;
 
@@ -123,16 +135,23 @@
 
 	private final Set<RequestExecution> waitingForOwner = new LinkedHashSet<>();
 
+	private final Set<RequestExecution> executions = new LinkedHashSet<>();
+
 	private HttpServer callerServer;
 
 	private boolean stopping;
 
-	// From when a process that is stopping takes no more requests that it can't finish,
-	// and when it stops at the latest.
+	// Until when a process that is stopping keeps running in any case, when it breaks off
+	// requests, and when it stops at the latest.
 	private long lastDrainNanos;
 
+	private long breakOffNanos;
+
 	private long latestStopNanos;
 
+	// From when it accepts no request at all with a deadline after the break-off.
+	private long noLateDeadlinesNanos;
+
 	// Estimated size of the views that were applied since the last report.
 	private long unacknowledgedBytes;
 
@@ -192,7 +211,13 @@
 		this.callerServer.drain();
 		long now = System.nanoTime();
 		this.lastDrainNanos = now + MIN_DRAIN_NANOS;
-		this.latestStopNanos = now + (long) (this.settings.graceNanos() * GRACE_FRACTION);
+		this.breakOffNanos = now + (long) (this.settings.graceNanos() * GRACE_FRACTION);
+		this.latestStopNanos = now + (long) (this.settings.graceNanos() * WRITE_GRACE_FRACTION);
+		long lateDeadlines = Math.min(MIN_DRAIN_NANOS, (long) ((this.breakOffNanos - now) * LATE_DEADLINE_FRACTION));
+		this.noLateDeadlinesNanos = now + lateDeadlines;
+		refuseUnfinishable();
+		this.loop.schedule(lateDeadlines, this::refuseUnfinishable);
+		this.loop.schedule(this.breakOffNanos - now, this::breakOff);
 		awaitDrained();
 	}
 
@@ -232,10 +257,19 @@
 		}
 	}
 
-	// Returns whether a request that has just arrived might be cut off by the planned
-	// stop.
-	boolean stopsBefore(long deadlineNanos, long now) {
-		return this.stopping && now - this.lastDrainNanos >= 0 && deadlineNanos - this.latestStopNanos > 0;
+	private void refuseUnfinishable() {
+		List.copyOf(this.executions).forEach(RequestExecution::refuseIfProcessStopsBefore);
+	}
+
+	private void breakOff() {
+		List.copyOf(this.executions).forEach(RequestExecution::breakOff);
+	}
+
+	// Returns whether the planned stop might break off a request that isn't sent yet. One
+	// that must not be repeated is never sent if this is possible.
+	boolean stopsBefore(long deadlineNanos, boolean repeatable, long now) {
+		boolean strict = !repeatable || now - this.noLateDeadlinesNanos >= 0;
+		return this.stopping && strict && deadlineNanos - this.breakOffNanos > 0;
 	}
 
 	private void closeStaleConnections() {
@@ -263,7 +297,9 @@
 	}
 
 	private void handle(HttpExchange exchange) {
-		new RequestExecution(this, exchange).start();
+		RequestExecution execution = new RequestExecution(this, exchange);
+		this.executions.add(execution);
+		execution.start();
 	}
 
 	@Override
@@ -497,6 +533,10 @@
 		return this.control.leaderContactAgeNanos(now) / MILLISECOND;
 	}
 
+	void ended(RequestExecution execution) {
+		this.executions.remove(execution);
+	}
+
 	void waitForView(RequestExecution execution) {
 		this.waitingForOwner.add(execution);
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -155,7 +155,7 @@
 		long allowed = Math.min(this.fields.deadlineMillis().orElse(this.route.timeoutMillis()),
 				this.route.timeoutMillis());
 		this.deadlineNanos = this.exchange.receivedNanos() + allowed * MILLISECOND;
-		if (this.node.stopsBefore(this.deadlineNanos, System.nanoTime())) {
+		if (processStopsBefore(System.nanoTime())) {
 			refuse(Refusal.STOPPING, RETRY_ELSEWHERE_MILLIS);
 			return;
 		}
@@ -171,10 +171,34 @@
 		}
 	}
 
+	// Refuses a request that waits to be sent if the planned stop might break it off.
+	void refuseIfProcessStopsBefore() {
+		if (!this.finished && this.call == null && processStopsBefore(System.nanoTime())) {
+			refuseOrFail(Refusal.STOPPING, RETRY_ELSEWHERE_MILLIS);
+		}
+	}
+
+	// Ends a request since the process is about to stop.
+	void breakOff() {
+		if (this.finished) {
+			return;
+		}
+		cancelCall();
+		refuseOrFail(Refusal.STOPPING, RETRY_ELSEWHERE_MILLIS);
+	}
+
+	private boolean processStopsBefore(long now) {
+		return this.node.stopsBefore(this.deadlineNanos, this.route.kind().repeatable(), now);
+	}
+
 	private void attempt() {
 		long now = System.nanoTime();
 		cancelOwnerWait();
 		this.node.stopWaiting(this);
+		if (processStopsBefore(now)) {
+			refuseOrFail(Refusal.STOPPING, RETRY_ELSEWHERE_MILLIS);
+			return;
+		}
 		OptionalLong quarantineLeft = quarantineLeftMillis(now);
 		if (quarantineLeft.isPresent()) {
 			refuseOrFail(Refusal.CRASHES_TARGETS, quarantineLeft.getAsLong());
@@ -338,7 +362,8 @@
 		boolean stillOwner = !this.sharded
 				|| this.node.view().owner(this.service, this.fields.key().orElseThrow()).equals(candidate.name());
 		if (stillOwner && current(candidate) && candidate.view().usable() && accepts(candidate, now)
-				&& remainingMillis(now) >= MIN_ATTEMPT_MILLIS && quarantineLeftMillis(now).isEmpty()) {
+				&& remainingMillis(now) >= MIN_ATTEMPT_MILLIS && quarantineLeftMillis(now).isEmpty()
+				&& !processStopsBefore(now)) {
 			send(candidate, now);
 		}
 		else {
@@ -595,12 +620,16 @@
 		if (this.finished) {
 			return;
 		}
+		cancelCall();
+		refuseOrFail(this.mayHaveRun ? Refusal.TIMED_OUT : Refusal.OVERLOADED, 0);
+	}
+
+	private void cancelCall() {
 		if (this.call != null) {
 			this.call.cancel();
 			endAttempt();
 			this.mayHaveRun = true;
 		}
-		refuseOrFail(this.mayHaveRun ? Refusal.TIMED_OUT : Refusal.OVERLOADED, 0);
 	}
 
 	// Handles a caller that closed its connection. A request that may be repeated is
@@ -692,6 +721,7 @@
 
 	private void end() {
 		this.finished = true;
+		this.node.ended(this);
 		if (this.deadlineTimer != null) {
 			this.deadlineTimer.cancel();
 		}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -140,8 +140,11 @@
 			sent.complete(null);
 		});
 		sent.get();
-		String applied = "\"sequence\":" + this.sequence + ",";
-		for (int i = 0; i < APPLY_ATTEMPTS && !this.log.toString(StandardCharsets.UTF_8).contains(applied); i++) {
+		awaitLogged("\"sequence\":" + this.sequence + ",");
+	}
+
+	void awaitLogged(String text) throws InterruptedException {
+		for (int i = 0; i < APPLY_ATTEMPTS && !this.log.toString(StandardCharsets.UTF_8).contains(text); i++) {
 			Thread.sleep(5);
 		}
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryStopTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryStopTests.java
@@ -1,6 +1,8 @@
 package org.redwingramp.node.entry;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -10,6 +12,8 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -20,34 +24,126 @@
 @Timeout(30)
 class EntryStopTests {
 
-	private static final long GRACE_NANOS = 4_000_000_000L;
+	private static final long NANOS_PER_MILLI = 1_000_000L;
 
-	private static final int CALLS = 45;
+	private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+	private static final int CALLS_AFTER_STOP = 5;
 
 	private static final long INTERVAL_MILLIS = 100;
 
+	// The requests that reached the target.
+	private final List<String> sent = new ArrayList<>();
+
 	// Guards against a request that is taken shortly before the process stops: it ran
 	// at a target, and its caller saw the connection close without an answer.
+	@ParameterizedTest
+	@ValueSource(longs = { 2000, 4000 })
+	void shouldAnswerEachRequestThatItSendsToATargetWhileItStops(long graceMillis) throws Exception {
+		List<String> answered = callWhileStopping("/book/a", graceMillis, ScriptedTarget.NO_RESPONSE);
+		assertThat(this.sent).hasSizeGreaterThan(5);
+		assertThat(answered.stream().filter((response) -> response.startsWith("HTTP/1.1 504")))
+			.hasSameSizeAs(this.sent);
+		assertThat(answered)
+			.anyMatch((response) -> response.startsWith("HTTP/1.1 503") && response.contains("Retry-Millis: 20"));
+	}
+
+	// Guards against a booking that runs at a target until the process ends, where its
+	// caller can't know whether it ran.
+	@Test
+	void shouldNotSendABookingWhoseDeadlineIsAfterTheStop() throws Exception {
+		List<String> answered = callWhileStopping("/book-long/a", 2000, ScriptedTarget.NO_RESPONSE);
+		assertThat(this.sent).isEmpty();
+		assertThat(answered).hasSizeGreaterThan(5)
+			.allMatch((response) -> response.startsWith("HTTP/1.1 503") && response.contains("Connection: close"));
+	}
+
+	// Guards against refusing lookups that are answered long before the stop.
+	@Test
+	void shouldServeALookupWithALateDeadlineWhileCallersStillConnect() throws Exception {
+		try (EntryFixture entry = new EntryFixture(2 * NANOS_PER_SECOND);
+				ScriptedTarget target = new ScriptedTarget(ScriptedTarget.response("1", "ok"))) {
+			entry.sendView("t-0", target);
+			entry.stop();
+			assertThat(entry.call("/lookup-long/a", "1")).startsWith("HTTP/1.1 200");
+		}
+	}
+
+	// Guards against a request that waits for the owner of its key until the process
+	// ends, and then gets no answer.
+	@ParameterizedTest
+	@ValueSource(strings = { "/book-long/a", "/lookup-long/a" })
+	void shouldRefuseARequestThatWaitsForAnOwnerWhenItCanNoLongerBeFinished(String path) throws Exception {
+		try (EntryFixture entry = new EntryFixture(2 * NANOS_PER_SECOND);
+				ScriptedTarget target = new ScriptedTarget()) {
+			entry.sendView("", target);
+			try (Socket caller = entry.open(path, "1")) {
+				entry.awaitLogged("request-waits");
+				entry.stop();
+				assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+					.startsWith("HTTP/1.1 503")
+					.contains("Connection: close");
+			}
+			assertThat(target.requests).isEmpty();
+		}
+	}
+
+	// Guards against a connection that ends without an answer when a target doesn't
+	// answer before the stop. The request may have run, so the answer doesn't deny it.
+	@Test
+	void shouldFailARequestThatRunsUntilTheStop() throws Exception {
+		try (EntryFixture entry = new EntryFixture(2 * NANOS_PER_SECOND);
+				ScriptedTarget target = new ScriptedTarget(ScriptedTarget.NO_RESPONSE)) {
+			entry.sendView("t-0", target);
+			try (Socket caller = entry.open("/book-long/a", "1")) {
+				target.awaitRequest();
+				entry.stop();
+				assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+					.startsWith("HTTP/1.1 502")
+					.contains("Connection: close");
+			}
+		}
+	}
+
+	// Guards against a request that is sent again late in the stop and then broken off.
 	@Test
-	void shouldAnswerEachRequestThatItSendsToATargetWhileItStops() throws Exception {
-		String[] script = Collections.nCopies(CALLS, ScriptedTarget.NO_RESPONSE).toArray(String[]::new);
-		ExecutorService callers = Executors.newFixedThreadPool(CALLS);
+	void shouldNotSendARequestAgainThatCanNoLongerBeFinished() throws Exception {
+		try (EntryFixture entry = new EntryFixture(4 * NANOS_PER_SECOND);
+				ScriptedTarget target = new ScriptedTarget(ScriptedTarget.CLOSE_LATE,
+						ScriptedTarget.response("1", "ok"))) {
+			entry.sendView("t-0", target);
+			try (Socket caller = entry.open("/lookup-long/a", "1")) {
+				target.awaitRequest();
+				entry.stop();
+				assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+					.startsWith("HTTP/1.1 502");
+			}
+			assertThat(target.requests).hasSize(1);
+		}
+	}
+
+	// Calls the same path at regular intervals while the process stops, and returns the
+	// answers of those calls that got one.
+	private List<String> callWhileStopping(String path, long graceMillis, String step) throws Exception {
+		int calls = (int) (graceMillis / INTERVAL_MILLIS + CALLS_AFTER_STOP);
+		String[] script = Collections.nCopies(calls, step).toArray(String[]::new);
+		ExecutorService callers = Executors.newFixedThreadPool(calls);
 		List<CompletableFuture<String>> responses = new ArrayList<>();
-		try (EntryFixture entry = new EntryFixture(GRACE_NANOS); ScriptedTarget target = new ScriptedTarget(script)) {
+		try (EntryFixture entry = new EntryFixture(graceMillis * NANOS_PER_MILLI);
+				ScriptedTarget target = new ScriptedTarget(script)) {
 			entry.sendView("t-0", target);
 			entry.stop();
-			for (int i = 0; i < CALLS; i++) {
+			for (int i = 0; i < calls; i++) {
 				String id = Integer.toString(i);
-				responses.add(CompletableFuture.supplyAsync(() -> book(entry, id), callers));
+				responses.add(CompletableFuture.supplyAsync(() -> call(entry, path, id), callers));
 				Thread.sleep(INTERVAL_MILLIS);
 			}
-			long answered = responses.stream()
+			List<String> answered = responses.stream()
 				.map(CompletableFuture::join)
-				.filter((response) -> response.startsWith("HTTP/1.1 504"))
-				.count();
-			assertThat(target.requests).hasSizeGreaterThan(10).hasSize((int) answered);
-			assertThat(responses.stream().map(CompletableFuture::join))
-				.anyMatch((response) -> response.startsWith("HTTP/1.1 503") && response.contains("Retry-Millis: 20"));
+				.filter((response) -> !response.isEmpty())
+				.toList();
+			this.sent.addAll(target.requests);
+			return answered;
 		}
 		finally {
 			callers.shutdownNow();
@@ -55,9 +151,9 @@
 	}
 
 	// Returns an empty text if the connection is refused or ends without a response.
-	private static String book(EntryFixture entry, String id) {
+	private static String call(EntryFixture entry, String path, String id) {
 		try {
-			return entry.call("/book/a", id);
+			return entry.call(path, id);
 		}
 		catch (IOException ex) {
 			return "";
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/ScriptedTarget.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/ScriptedTarget.java
@@ -21,9 +21,14 @@
 	/** Closes the connection without a response. */
 	static final String CLOSE = "close";
 
+	/** Closes the connection without a response after some seconds. */
+	static final String CLOSE_LATE = "close-late";
+
 	/** Reads the request and sends no response. */
 	static final String NO_RESPONSE = "no-response";
 
+	private static final long LATE_MILLIS = 2600;
+
 	final List<String> requests = new CopyOnWriteArrayList<>();
 
 	// Counted down when the peer closes its connection.
@@ -52,6 +57,12 @@
 		return "127.0.0.1:" + this.server.getLocalPort();
 	}
 
+	void awaitRequest() throws InterruptedException {
+		while (this.requests.isEmpty()) {
+			Thread.sleep(5);
+		}
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.server.close();
@@ -75,7 +86,10 @@
 			while (!head.isEmpty()) {
 				this.requests.add(head);
 				String step = this.script.poll();
-				if (step == null || step.equals(CLOSE)) {
+				if (CLOSE_LATE.equals(step)) {
+					Thread.sleep(LATE_MILLIS);
+				}
+				if (step == null || step.equals(CLOSE) || step.equals(CLOSE_LATE)) {
 					return;
 				}
 				if (!step.equals(NO_RESPONSE)) {
@@ -85,7 +99,7 @@
 			}
 			this.connectionEnded.countDown();
 		}
-		catch (IOException ex) {
+		catch (IOException | InterruptedException ex) {
 			this.connectionEnded.countDown();
 		}
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
@@ -31,7 +31,8 @@
  * A platform dialect for tests, with simple header names and a fixed configuration:
  * idempotent lookups below {@code /lookup/} and non-idempotent bookings below
  * {@code /book/}, both on the sharded service {@code s}; lookups below {@code /plain/} on
- * the service {@code p}, which isn't sharded.
+ * the service {@code p}, which isn't sharded. Names that end with {@code -long} are of
+ * the same kind and have a long timeout.
  */
 final class TestDialect implements PlatformDialect {
 
@@ -40,6 +41,8 @@
 
 	static final long TIMEOUT_MILLIS = 600;
 
+	static final long LONG_TIMEOUT_MILLIS = 10_000;
+
 	static final double COLD_PER_SECOND = 20;
 
 	@Override
@@ -48,7 +51,7 @@
 
 	@Override
 	public RequestFields requestFields(HttpRequest request) {
-		return new RequestFields(Header.find(request.headers(), "Id"), OptionalLong.of(TIMEOUT_MILLIS),
+		return new RequestFields(Header.find(request.headers(), "Id"), OptionalLong.empty(),
 				Header.find(request.headers(), "Key")
 					.map((key) -> OptionalInt.of(Integer.parseInt(key)))
 					.orElse(OptionalInt.empty()),
@@ -112,8 +115,11 @@
 			throw new InvalidDocumentException("the configuration has a form that this build doesn't know");
 		}
 		return new TrafficConfig(1,
-				List.of(route("lookup", RequestKind.IDEMPOTENT, "s"), route("book", RequestKind.NON_IDEMPOTENT, "s"),
-						route("plain", RequestKind.IDEMPOTENT, "p")),
+				List.of(route("lookup", RequestKind.IDEMPOTENT, "s", TIMEOUT_MILLIS),
+						route("book", RequestKind.NON_IDEMPOTENT, "s", TIMEOUT_MILLIS),
+						route("lookup-long", RequestKind.IDEMPOTENT, "s", LONG_TIMEOUT_MILLIS),
+						route("book-long", RequestKind.NON_IDEMPOTENT, "s", LONG_TIMEOUT_MILLIS),
+						route("plain", RequestKind.IDEMPOTENT, "p", TIMEOUT_MILLIS)),
 				List.of(new ServiceSpec("s", "/health", 10, true, 0, COLD_PER_SECOND, 0, GrantMode.CALL),
 						new ServiceSpec("p", "/health", 10, false, 0, COLD_PER_SECOND, 0, GrantMode.CALL)),
 				CallerLimits.DEFAULT);
@@ -124,8 +130,8 @@
 		return request.path().equals("/ready");
 	}
 
-	private static Route route(String name, RequestKind kind, String service) {
-		return new Route(name, "h", "/" + name + "/", kind, TIMEOUT_MILLIS, 300, 0, 2,
+	private static Route route(String name, RequestKind kind, String service, long timeoutMillis) {
+		return new Route(name, "h", "/" + name + "/", kind, timeoutMillis, 300, 0, 2,
 				List.of(new WeightedService(service, 1)));
 	}
 
