Keep the limit of a target after a permit request with an odd rate

A permit request whose rate isn't a number turned the target's count of permits into NaN, from which it never recovered: each later request was granted at once, so the limit of that target was ignored until the leader changed. A rate that isn't a finite number counts as the lowest one now.

RateReservationsTests.shouldKeepTheLimitAfterARateThatIsNotANumber fails without the change.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/RateReservations.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/RateReservations.java
@@ -31,7 +31,8 @@
 	/**
 	 * Reserves a permit for one request.
 	 * @param target the name of the target
-	 * @param perSecond the requests per second that all entry instances together may send
+	 * @param perSecond the requests per second that all entry instances together may
+	 * send; the lowest rate is used if it isn't a finite number
 	 * @param maxDelayNanos the longest time until the permit becomes usable that is
 	 * acceptable, in nanoseconds
 	 * @param now the monotonic time in nanoseconds
@@ -39,7 +40,8 @@
 	 */
 	public Reservation reserve(String target, double perSecond, long maxDelayNanos, long now) {
 		return this.buckets.computeIfAbsent(target, (name) -> new Bucket(now))
-			.reserve(Math.max(MIN_PER_SECOND, perSecond), maxDelayNanos, now);
+			.reserve(Double.isFinite(perSecond) ? Math.max(MIN_PER_SECOND, perSecond) : MIN_PER_SECOND, maxDelayNanos,
+					now);
 	}
 
 	/**
--- a/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/RateReservationsTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/RateReservationsTests.java
@@ -24,6 +24,14 @@
 		assertThat(this.reservations.reserve("t", 4, 0, 0)).isEqualTo(new Reservation(false, SECOND / 4));
 	}
 
+	// Guards against a target whose limit is ignored for ever after one odd rate.
+	@Test
+	void shouldKeepTheLimitAfterARateThatIsNotANumber() {
+		this.reservations.reserve("t", Double.NaN, 0, 0);
+		this.reservations.reserve("t", Double.POSITIVE_INFINITY, 0, 0);
+		assertThat(this.reservations.reserve("t", 4, 0, 0)).isEqualTo(new Reservation(false, SECOND / 4));
+	}
+
 	// Guards against requests that are refused although their permit is due in time.
 	@Test
 	void shouldReservePermitsInOrderForLater() {
