Keep the leader's work for other elements going if one fails

What callers would see: an unexpected exception in the work for one lease ended the controller's round at that point, in each round: leases after it weren't renewed, keys weren't assigned and load wasn't balanced. One target whose description couldn't be built would have kept every view from the entry instances. A report with a value that isn't a number made the averages of a target or key NaN for as long as the leader led, one with a negative or huge age outdated the later limits of a target, and each unknown service in a report took 256 KiB.

Cause: the controller worked through all elements in one piece and believed the reports of entry instances without bounds.

Change: GuardedWork runs each lease, service and target of the view by itself. A failure is counted (failed_work), logged once for each element with its name, and tried again in the next round. A grant or release that can't be written gets the outcome unknown instead of none, so its lease isn't stuck. Elements of a report that can't be true are left out and logged once for each entry instance; the others are used.

Evidence: shouldMaintainTheLeasesOfOtherTargetsIfTheWorkForOneFails, shouldNotUseElementsOfReportsThatCannotBeTrue and shouldUseTheOtherElementsOfAReport fail with the checks taken out.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -12,6 +12,7 @@
 import java.util.stream.Stream;
 
 import org.redwingramp.core.dispatch.RateReservations.Reservation;
+import org.redwingramp.core.fleet.EntryReport.TargetUse;
 import org.redwingramp.core.fleet.FleetCommand.AssignKeys;
 import org.redwingramp.core.fleet.FleetCommand.ForgetTarget;
 import org.redwingramp.core.fleet.FleetCommand.Move;
@@ -73,6 +74,9 @@
 	/** Maximum number of groups of adjacent ranges that one command merges. */
 	private static final int MAX_MERGES_PER_COMMAND = 16;
 
+	/** Maximum number of entry instances whose reports are logged as implausible. */
+	private static final int MAX_LOGGED_ENTRIES = 1000;
+
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final FleetState state;
@@ -93,6 +97,8 @@
 
 	private final TargetRegister targets;
 
+	private final GuardedWork guard;
+
 	private final KeyPlanner planner = new KeyPlanner();
 
 	private final CallDelivery callDelivery;
@@ -101,6 +107,8 @@
 
 	private final FleetObservations observations;
 
+	private final Set<String> implausibleEntries = new HashSet<>();
+
 	private Set<String> services = Set.of();
 
 	private Set<String> domains = Set.of();
@@ -123,6 +131,7 @@
 	public FleetController(FleetState state, FleetOutput output, LeaseTiming timing, long now) {
 		this.state = state;
 		this.output = output;
+		this.guard = new GuardedWork(output);
 		this.targets = new TargetRegister(state);
 		this.leases = new LeaseTable(timing);
 		this.observations = new FleetObservations(this.healthByTarget, output, this::viewChanged);
@@ -263,20 +272,32 @@
 	public void report(String entry, EntryReport report, long now) {
 		report.targets()
 			.stream()
-			.filter((usage) -> usage.answers() > 0 && this.healthByTarget.containsKey(usage.target()))
+			.filter((usage) -> usage.plausible() && this.healthByTarget.containsKey(usage.target()))
 			.forEach((usage) -> this.healthByTarget.get(usage.target())
 				.recordResponses(entry, usage.expectedMillis(), usage.elapsedMillis(), now));
 		report.targets()
 			.stream()
-			.filter((usage) -> usage.answers() > 0)
+			.filter(TargetUse::plausible)
 			.forEach((usage) -> this.state.target(usage.target())
 				.ifPresent((target) -> this.observations.responsesReported(target.service(), usage)));
-		report.observations().forEach((observation) -> this.observations.received(observation, now));
+		report.observations()
+			.stream()
+			.filter(Observation::plausible)
+			.forEach((observation) -> this.observations.received(observation, now));
 		report.leaving().forEach((owner) -> targetLeaves(entry, owner));
 		report.keys()
 			.stream()
-			.filter((usage) -> usage.key() >= 0 && usage.key() < KeyRange.KEYS)
+			.filter((usage) -> usage.plausible() && this.shardedServices.containsKey(usage.service()))
 			.forEach((usage) -> loadOf(usage.service(), now).add(usage.key(), usage.millis()));
+		logImplausible(entry, report);
+	}
+
+	// Logs once for each entry instance that elements of its report weren't used.
+	private void logImplausible(String entry, EntryReport report) {
+		long dropped = report.implausible();
+		if (dropped > 0 && this.implausibleEntries.size() < MAX_LOGGED_ENTRIES && this.implausibleEntries.add(entry)) {
+			this.output.decision("report-elements-dropped", "entry", entry, "elements", dropped);
+		}
 	}
 
 	// Treats a target that says in its responses that it leaves like one that says so
@@ -300,7 +321,7 @@
 	 */
 	public Reservation reserve(String target, double perSecond, Optional<Observation> stated, long maxDelayNanos,
 			long now) {
-		stated.ifPresent((limit) -> this.observations.received(limit, now));
+		stated.filter(Observation::plausible).ifPresent((limit) -> this.observations.received(limit, now));
 		return this.observations.reserve(target, perSecond, maxDelayNanos, now);
 	}
 
@@ -434,18 +455,22 @@
 	 * @param now the monotonic time in nanoseconds
 	 */
 	public void tick(long now) {
-		forgetLostTargets(now);
+		this.guard.run("forget lost targets", "all", () -> forgetLostTargets(now));
 		this.callDelivery.tickBegins();
-		this.leases.all().toList().forEach((lease) -> maintainLease(lease, now));
-		this.shardedServices.keySet().forEach((service) -> assignUnownedRanges(service, now));
+		this.leases.all()
+			.toList()
+			.forEach((lease) -> this.guard.run("maintain lease", lease.service() + ' ' + format(lease.range().keys()),
+					() -> maintainLease(lease, now)));
+		this.shardedServices.keySet()
+			.forEach((service) -> this.guard.run("assign keys", service, () -> assignUnownedRanges(service, now)));
 		if (now - this.lastBalanceNanos >= BALANCE_INTERVAL_NANOS) {
 			this.lastBalanceNanos = now;
 			this.loadByService.values().forEach((load) -> load.decay(now));
 			this.observations.expire(now);
-			this.shardedServices.keySet().forEach((service) -> {
+			this.shardedServices.keySet().forEach((service) -> this.guard.run("balance keys", service, () -> {
 				balance(service, now);
 				mergeAdjacentRanges(service, now);
-			});
+			}));
 		}
 	}
 
@@ -484,12 +509,15 @@
 		return this.state.targets()
 			.stream()
 			.filter((target) -> target.stage() != Stage.LEFT)
-			.map((target) -> new ViewTarget(target.name(), target.service(), target.address(), target.domain(),
-					target.slots(), usable(target), this.healthByTarget.get(target.name()).coldLeftMillis(now),
-					target.born()))
+			.flatMap((target) -> this.guard.call("view target", target.name(), () -> viewTarget(target, now)).stream())
 			.toList();
 	}
 
+	private ViewTarget viewTarget(FleetTarget target, long now) {
+		return new ViewTarget(target.name(), target.service(), target.address(), target.domain(), target.slots(),
+				usable(target), health(target).coldLeftMillis(now), target.born());
+	}
+
 	/**
 	 * Returns the key owners for the view of entry instances.
 	 * @return the ranges of each sharded service
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetOutput.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetOutput.java
@@ -39,4 +39,13 @@
 	 */
 	void decision(String event, Object... details);
 
+	/**
+	 * Reports an unexpected exception that ended the work for one element. The work for
+	 * the other elements goes on.
+	 * @param duty what was being done
+	 * @param element the name of the element
+	 * @param failure the exception
+	 */
+	void workFailed(String duty, String element, RuntimeException failure);
+
 }
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
@@ -42,6 +42,11 @@
 
 	private final Set<String> replacedByOtherService = new HashSet<>();
 
+	final List<String> failures = new ArrayList<>();
+
+	/** Targets for which a grant ends with an unexpected exception. */
+	final Set<String> failingGrants = new HashSet<>();
+
 	final List<String> decisions = new ArrayList<>();
 
 	final List<FleetCommand> commands = new ArrayList<>();
@@ -161,6 +166,9 @@
 
 	@Override
 	public void grant(RangeLease lease, FleetTarget target, Optional<String> via) {
+		if (this.failingGrants.contains(target.name())) {
+			throw new IllegalStateException("no grant can be written for " + target.name());
+		}
 		this.grants++;
 		GrantOutcome outcome = this.delayNextGrant.remove(target.name()) ? GrantOutcome.UNKNOWN : call(target, via);
 		if (outcome == GrantOutcome.UNKNOWN) {
@@ -185,6 +193,11 @@
 		this.replies.add(() -> this.controller.releaseReturned(lease, outcome, Optional.of("token"), this.now));
 	}
 
+	@Override
+	public void workFailed(String duty, String element, RuntimeException failure) {
+		this.failures.add(duty);
+	}
+
 	@Override
 	public void decision(String event, Object... details) {
 		this.decisions.add(event);
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -13,6 +13,9 @@
 import org.redwingramp.core.fleet.FleetCommand.RecordTarget;
 import org.redwingramp.core.fleet.FleetCommand.SetDomainOut;
 import org.redwingramp.core.fleet.FleetTarget.Stage;
+import org.redwingramp.core.observation.Observation;
+import org.redwingramp.core.observation.ObservationKind;
+import org.redwingramp.core.observation.ObservationTable.Observed;
 import org.redwingramp.core.ownership.KeyRange;
 import org.redwingramp.core.ownership.KeyReport;
 import org.redwingramp.core.ownership.Owner;
@@ -91,6 +94,63 @@
 		return this.fleet.controller.objectionTo(new TargetHeartbeat(target, 0, 1, KeyReport.EMPTY), 0);
 	}
 
+	/**
+	 * Guards against targets that lose their keys, and keys without an owner, since the
+	 * work for another target fails.
+	 */
+	@Test
+	void shouldMaintainTheLeasesOfOtherTargetsIfTheWorkForOneFails() {
+		awaitInitialAssignment();
+		this.fleet.failingGrants.add("t-0");
+		FleetTarget draining = this.fleet.state.target("t-1").orElseThrow();
+		this.fleet.sendHeartbeat(draining.with(Stage.DRAINING), 0);
+		this.fleet.advance(6000);
+		assertThat(this.fleet.failures).isNotEmpty().containsOnly("maintain lease");
+		assertThat(this.fleet.owners()).contains("t-2", "t-3").doesNotContain("t-1");
+	}
+
+	/** Guards against averages that never recover from one report. */
+	@Test
+	void shouldNotUseElementsOfReportsThatCannotBeTrue() {
+		List<TargetUse> targets = Stream
+			.of(Double.NaN, Double.POSITIVE_INFINITY, Double.NEGATIVE_INFINITY, -1.0, Double.MAX_VALUE)
+			.flatMap((millis) -> Stream.of(new TargetUse("t-1", 1, millis, 100), new TargetUse("t-1", 1, 100, millis),
+					new TargetUse("t-1", 1, millis, millis)))
+			.toList();
+		List<KeyUse> keys = Stream.of(Float.NaN, Float.POSITIVE_INFINITY, -1F, Float.MAX_VALUE)
+			.map((millis) -> new KeyUse("s", 7, millis))
+			.toList();
+		List<Observation> ages = Stream.of(Long.MIN_VALUE, -1L, Long.MAX_VALUE).map((age) -> limit(5, age)).toList();
+		List<Observation> values = Stream.of(Double.NaN, Double.NEGATIVE_INFINITY, Double.POSITIVE_INFINITY, -7.0)
+			.map((value) -> limit(value, 0))
+			.toList();
+		awaitInitialAssignment();
+		report(new EntryReport(targets, keys, ages));
+		report(new EntryReport(List.of(), List.of(new KeyUse("no-service", 7, 1), new KeyUse("s", -1, 1)), values));
+		assertThat(this.fleet.controller.viewObservations()).isEmpty();
+		assertThat(this.fleet.decisions).filteredOn("report-elements-dropped"::equals).hasSize(1);
+		this.fleet.advance(3000);
+		assertThat(this.fleet.decisions).doesNotContain("move");
+	}
+
+	/** Guards against the loss of a whole report because of one element. */
+	@Test
+	void shouldUseTheOtherElementsOfAReport() {
+		awaitInitialAssignment();
+		Observation known = new Observation(ObservationKind.TARGET_LIMIT, "t-2", 5, 0);
+		report(new EntryReport(List.of(new TargetUse("t-1", 1, Double.NaN, 1)), List.of(),
+				List.of(limit(Double.NaN, 0), known)));
+		assertThat(this.fleet.controller.viewObservations()).extracting(Observed::subject).containsExactly("t-2");
+	}
+
+	private static Observation limit(double value, long ageMillis) {
+		return new Observation(ObservationKind.TARGET_LIMIT, "t-1", value, ageMillis);
+	}
+
+	private void report(EntryReport report) {
+		this.fleet.controller.report("front-1", report, this.fleet.now);
+	}
+
 	private void reportLeaving(Owner owner) {
 		this.fleet.controller.report("front-1", new EntryReport(List.of(), List.of(), List.of(), List.of(owner)),
 				this.fleet.now);
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/HeartbeatFleet.java
@@ -185,6 +185,11 @@
 		throw new AssertionError("a release was sent by call: " + lease.range());
 	}
 
+	@Override
+	public void workFailed(String duty, String element, RuntimeException failure) {
+		throw failure;
+	}
+
 	@Override
 	public void decision(String event, Object... details) {
 		this.decisions.add(event + List.of(details));
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -95,6 +95,9 @@
 	 */
 	private static final long SUSPENSION_THRESHOLD_MILLIS = 400;
 
+	/** Maximum number of elements whose failed work is logged in a leadership. */
+	private static final int MAX_LOGGED_FAILURES = 100;
+
 	/**
 	 * Limits of the HTTP server for control calls. The maximum body fits a configuration
 	 * of thousands of routes.
@@ -649,6 +652,8 @@
 
 		private final long term = ControlNode.this.controllerTerm;
 
+		private final Set<String> loggedFailures = new HashSet<>();
+
 		@Override
 		public void propose(FleetCommand command) {
 			ControlNode.this.replica.propose(command, (result) -> {
@@ -684,11 +689,32 @@
 			ControlNode.this.events.log(NodeEvent.CONTROLLER_DECISION, namesAndValues);
 		}
 
+		@Override
+		public void workFailed(String duty, String element, RuntimeException failure) {
+			ControlNode.this.events.metrics().count("failed_work", duty);
+			if (this.loggedFailures.size() < MAX_LOGGED_FAILURES && this.loggedFailures.add(duty + ' ' + element)) {
+				ControlNode.this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", duty, "element", element, "failure",
+						failure);
+			}
+		}
+
 		private Optional<FleetController> activeController() {
 			return ControlNode.this.controller.filter((controller) -> ControlNode.this.replica.term() == this.term);
 		}
 
+		// A call that can't be written has an outcome too; without it, the lease would
+		// wait for a reply and never be renewed or released.
 		private void send(FleetTarget target, GrantCall call, Optional<String> via, Consumer<GrantReply> reply) {
+			try {
+				trySend(target, call, via, reply);
+			}
+			catch (RuntimeException ex) {
+				workFailed("call target", target.name(), ex);
+				ControlNode.this.loop.schedule(RELAY_TIMEOUT_NANOS, () -> reply.accept(GrantReply.UNKNOWN));
+			}
+		}
+
+		private void trySend(FleetTarget target, GrantCall call, Optional<String> via, Consumer<GrantReply> reply) {
 			Optional<EntrySession> session = via.flatMap(ControlNode.this.entries::session);
 			if (session.isPresent()) {
 				long number = session.get().relay(this.term, target.address(), call, reply);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlWarmup.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlWarmup.java
@@ -117,6 +117,11 @@
 			// Decisions on sample data aren't logged.
 		}
 
+		@Override
+		public void workFailed(String duty, String element, RuntimeException failure) {
+			throw failure;
+		}
+
 	}
 
 }
