Format the names of guarded elements only if their work fails

Cause: the name of each lease was formatted in each round of the controller, 20 times a second, for a log line that is almost never written.

Change: names are suppliers.

Measured: FleetControllerTests and the heartbeat tests of core pass; the cost itself wasn't measured.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -455,19 +455,20 @@
 	 * @param now the monotonic time in nanoseconds
 	 */
 	public void tick(long now) {
-		this.guard.run("forget lost targets", "all", () -> forgetLostTargets(now));
+		this.guard.run("forget lost targets", () -> "all", () -> forgetLostTargets(now));
 		this.callDelivery.tickBegins();
 		this.leases.all()
 			.toList()
-			.forEach((lease) -> this.guard.run("maintain lease", lease.service() + ' ' + format(lease.range().keys()),
-					() -> maintainLease(lease, now)));
+			.forEach((lease) -> this.guard.run("maintain lease",
+					() -> lease.service() + ' ' + format(lease.range().keys()), () -> maintainLease(lease, now)));
 		this.shardedServices.keySet()
-			.forEach((service) -> this.guard.run("assign keys", service, () -> assignUnownedRanges(service, now)));
+			.forEach(
+					(service) -> this.guard.run("assign keys", () -> service, () -> assignUnownedRanges(service, now)));
 		if (now - this.lastBalanceNanos >= BALANCE_INTERVAL_NANOS) {
 			this.lastBalanceNanos = now;
 			this.loadByService.values().forEach((load) -> load.decay(now));
 			this.observations.expire(now);
-			this.shardedServices.keySet().forEach((service) -> this.guard.run("balance keys", service, () -> {
+			this.shardedServices.keySet().forEach((service) -> this.guard.run("balance keys", () -> service, () -> {
 				balance(service, now);
 				mergeAdjacentRanges(service, now);
 			}));
@@ -509,7 +510,7 @@
 		return this.state.targets()
 			.stream()
 			.filter((target) -> target.stage() != Stage.LEFT)
-			.flatMap((target) -> this.guard.call("view target", target.name(), () -> viewTarget(target, now)).stream())
+			.flatMap((target) -> this.guard.call("view target", target::name, () -> viewTarget(target, now)).stream())
 			.toList();
 	}
 
