Let an entry instance that doesn't follow say so and step back

Callers: an entry instance that couldn't read a configuration, or couldn't apply the views of a leader that it heard, answered its readiness question with 200 and served by its old state without end. Nothing at the leader showed it, and changes were acknowledged that were in force nowhere.

ViewLag records why and since when an instance doesn't follow. Reports state the version of the configuration that is applied and the reason. The leader says in its replies whether any instance follows; while none does, the last state is served, and a configuration that none can read is answered with 503 instead of being acknowledged. One instance that can't apply a change doesn't hold up its acknowledgement.

The leader logs instances that stop and resume following (entry-behind, with the age of what is applied and the reason, across links) and has the gauges entry_applied_age_millis_max, entry_instances_behind, entry_instances_not_following and entry_instances_config_unreadable. The new components of Report and LeaderInfo are optional, so former builds read them and are read. A new leader gets a report at once.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -130,7 +130,8 @@
 
 	private Optional<TrafficConfig> config = Optional.empty();
 
-	private LinkMessage.LeaderInfo lastSentLeaderInfo = new LinkMessage.LeaderInfo("", false, List.of());
+	private LinkMessage.LeaderInfo lastSentLeaderInfo = new LinkMessage.LeaderInfo("", false, List.of(),
+			Optional.empty());
 
 	private long lastClockOffsetMillis = clockOffsetMillis();
 
@@ -331,7 +332,8 @@
 	}
 
 	private LinkMessage.LeaderInfo leaderInfo() {
-		return new LinkMessage.LeaderInfo(this.replica.leader().orElse(""), leading(), this.replica.replicaNames());
+		return new LinkMessage.LeaderInfo(this.replica.leader().orElse(""), leading(), this.replica.replicaNames(),
+				leading() ? this.entries.followed(System.nanoTime()) : Optional.empty());
 	}
 
 	private void received(Link link, LinkMessage message) {
@@ -375,14 +377,16 @@
 
 	private void report(Link link, LinkMessage.Report report) {
 		openSession(link, report.entry(), 0);
-		link.send(leaderInfo());
 		if (leading()) {
 			long now = System.nanoTime();
 			report.clockMillis()
 				.ifPresent((millis) -> this.entries.session(link)
 					.ifPresent((session) -> session.clockReported(millis, now)));
-			this.entries.viewAcknowledged(link, report.term(), report.sequence(), now);
-			this.controller.get().report(report.entry(), report.report(), now);
+			this.entries.reportReceived(link, report, now);
+		}
+		link.send(leaderInfo());
+		if (leading()) {
+			this.controller.get().report(report.entry(), report.report(), System.nanoTime());
 		}
 	}
 
@@ -569,7 +573,7 @@
 	private void replaceConfig(ControlRequest.ReplaceConfig change, Consumer<ControlAnswer> reply) {
 		FleetState state = this.replica.state();
 		if (state.accepted(change.version(), change.document())) {
-			reply.accept(accepted());
+			reply.accept(acceptedConfig(this.entries.readableByNone(System.nanoTime())));
 			return;
 		}
 		try {
@@ -593,9 +597,9 @@
 			return;
 		}
 		switch (result.get().outcome()) {
-			case ACCEPTED ->
-				this.entries.confirmWhenApplied(result.get().configVersion(), () -> reply.accept(accepted()));
-			case ALREADY_ACCEPTED -> reply.accept(accepted());
+			case ACCEPTED -> this.entries.confirmWhenApplied(result.get().configVersion(),
+					(readableByNone) -> reply.accept(acceptedConfig(readableByNone)));
+			case ALREADY_ACCEPTED -> reply.accept(acceptedConfig(this.entries.readableByNone(System.nanoTime())));
 			case WRONG_BASE -> reply.accept(
 					ControlAnswer.of(Kind.WRONG_VERSION, "version " + result.get().configVersion() + " is in force"));
 			case VERSION_NOT_HIGHER -> reply.accept(ControlAnswer.of(Kind.INVALID,
@@ -603,6 +607,16 @@
 		}
 	}
 
+	// A configuration that no entry instance can read isn't in force anywhere, so it
+	// isn't
+	// acknowledged.
+	private ControlAnswer acceptedConfig(boolean readableByNone) {
+		return readableByNone
+				? ControlAnswer.of(Kind.UNAVAILABLE, "version " + this.replica.state().configVersion()
+						+ " is recorded, but no entry instance can read it; replace it by one that they can read")
+				: accepted();
+	}
+
 	private static long clockOffsetMillis() {
 		return System.currentTimeMillis() - System.nanoTime() / MILLISECOND;
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -27,20 +28,20 @@
 
 	private final ViewFlowControl flowControl;
 
+	private final EntryProgress progress;
+
 	private final LongSupplier relayNumbers;
 
 	private Optional<Long> reportedClockMillis = Optional.empty();
 
 	private long clockReportedNanos;
 
-	// Whether the entry instance was last logged as being behind.
-	boolean behind;
-
 	// The numbers must be unique among all sessions on the link: a reply may arrive after
 	// the session in which its call was sent.
-	EntrySession(Link link, String name, long configVersion, LongSupplier relayNumbers) {
+	EntrySession(Link link, String name, long configVersion, EntryProgress progress, LongSupplier relayNumbers) {
 		this.link = link;
 		this.name = name;
+		this.progress = progress;
 		this.relayNumbers = relayNumbers;
 		this.flowControl = new ViewFlowControl(configVersion, System.nanoTime());
 	}
@@ -57,6 +58,17 @@
 		return this.flowControl;
 	}
 
+	EntryProgress progress() {
+		return this.progress;
+	}
+
+	void noteProgress(long now) {
+		this.progress.acknowledged(
+				(this.flowControl.acknowledgedSequence() > 0)
+						? OptionalLong.of(this.flowControl.oldestUnacknowledgedAgeNanos(now)) : OptionalLong.empty(),
+				now);
+	}
+
 	// Sends a call to a target by way of the entry instance and returns the number that
 	// identifies its reply.
 	long relay(long term, String address, GrantCall call, Consumer<GrantReply> reply) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
@@ -9,8 +9,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
+import org.redwingramp.core.fleet.LagReason;
 import org.redwingramp.core.fleet.ViewFlowControl;
 import org.redwingramp.core.fleet.ViewState;
 import org.redwingramp.node.events.EventWriter;
@@ -40,13 +43,6 @@
 	/** Maximum delay of the response to an operator until entry instances confirm. */
 	private static final long CONFIRMATION_TIMEOUT_NANOS = 300 * MILLISECOND;
 
-	/**
-	 * Age of the oldest unacknowledged view above which an entry instance is logged as
-	 * being behind. Half the time within which the platform requires a change to be in
-	 * force.
-	 */
-	private static final long BEHIND_THRESHOLD_NANOS = 1000 * MILLISECOND;
-
 	/**
 	 * Time after the end of its last link for which an entry instance is still counted
 	 * among those that share the fleet-wide limits. After this time without a leader it
@@ -69,6 +65,8 @@
 
 	private final Map<String, Long> disconnectedNanos = new HashMap<>();
 
+	private final Map<String, EntryProgress> progress = new HashMap<>();
+
 	private long lastRelayNumber;
 
 	// The term of the leadership to which the sessions belong.
@@ -94,6 +92,10 @@
 		metrics.gauge("entry_queued_bytes_max",
 				() -> this.sessions.keySet().stream().mapToLong(Link::queuedBytes).max().orElse(0));
 		metrics.gauge("entry_behind_millis_max", () -> maxBehindNanos(System.nanoTime()) / MILLISECOND);
+		metrics.gauge("entry_applied_age_millis_max", () -> maxAppliedAgeNanos(System.nanoTime()) / MILLISECOND);
+		metrics.gauge("entry_instances_behind", () -> count((entry) -> entry.behind(System.nanoTime())));
+		metrics.gauge("entry_instances_not_following", () -> count((entry) -> entry.lag().isPresent()));
+		metrics.gauge("entry_instances_config_unreadable", () -> count(EntrySessions::configUnreadable));
 	}
 
 	void helloReceived(Link link, LinkMessage.EntryHello hello) {
@@ -114,6 +116,7 @@
 		this.disconnectedNanos.values().removeIf((since) -> now - since > COUNTED_AFTER_DISCONNECT_NANOS);
 		Set<String> names = new HashSet<>(this.disconnectedNanos.keySet());
 		this.links.values().forEach((hello) -> names.add(hello.entry()));
+		this.progress.keySet().retainAll(names);
 		this.instances = names.size();
 	}
 
@@ -180,12 +183,15 @@
 	// for confirmation are committed, so their operators get a response.
 	void stopLeading() {
 		this.sessions.clear();
+		this.progress.clear();
 		List.copyOf(this.confirmations).forEach(this::confirm);
 	}
 
 	void openSession(Link link, String entry, long configVersion) {
 		this.sessions.computeIfAbsent(link,
-				(key) -> new EntrySession(link, entry, configVersion, () -> ++this.lastRelayNumber));
+				(key) -> new EntrySession(link, entry, configVersion,
+						this.progress.computeIfAbsent(entry, (name) -> new EntryProgress(System.nanoTime())),
+						() -> ++this.lastRelayNumber));
 	}
 
 	Optional<EntrySession> session(Link link) {
@@ -196,11 +202,15 @@
 		return this.sessions.values().stream().filter((session) -> session.name().equals(entry)).findFirst();
 	}
 
-	// Takes note of the view that an entry instance has applied. A view of another term
-	// says nothing about the views of this one, which are numbered anew.
-	void viewAcknowledged(Link link, long viewTerm, long sequence, long now) {
-		long acknowledged = (viewTerm == this.term) ? sequence : 0;
-		session(link).ifPresent((session) -> session.flowControl().acknowledged(acknowledged));
+	// Takes note of what an entry instance has applied. A view of another term says
+	// nothing about the views of this one, which are numbered anew.
+	void reportReceived(Link link, LinkMessage.Report report, long now) {
+		long acknowledged = (report.term() == this.term) ? report.sequence() : 0;
+		session(link).ifPresent((session) -> {
+			session.flowControl().acknowledged(acknowledged);
+			session.progress().reported(report);
+			session.noteProgress(now);
+		});
 		long minAcknowledged = responsiveSessions(now).stream()
 			.mapToLong((session) -> session.flowControl().acknowledgedSequence())
 			.min()
@@ -212,23 +222,46 @@
 	}
 
 	// Delays the response to an operator until the entry instances have applied the
-	// change, but at most for the confirmation timeout.
-	void confirmWhenApplied(long configVersion, Runnable reply) {
+	// change, but at most for the confirmation timeout. The reply is told whether no
+	// entry
+	// instance can read the configuration.
+	void confirmWhenApplied(long configVersion, Consumer<Boolean> reply) {
 		Confirmation confirmation = new Confirmation(this.currentView.sequence() + 1, configVersion, System.nanoTime(),
 				reply);
 		this.confirmations.add(confirmation);
 		this.loop.schedule(CONFIRMATION_TIMEOUT_NANOS, () -> confirm(confirmation));
 	}
 
+	// Returns whether any entry instance follows this leader, as far as all of them have
+	// reported. An instance that doesn't state it counts as one that does.
+	Optional<Boolean> followed(long now) {
+		List<EntrySession> responsive = responsiveSessions(now);
+		boolean known = !responsive.isEmpty()
+				&& responsive.stream().allMatch((session) -> session.progress().reported());
+		return known ? Optional.of(responsive.stream().anyMatch((session) -> session.progress().lag().isEmpty()))
+				: Optional.empty();
+	}
+
+	// Returns whether all entry instances state that they can't read the configuration.
+	boolean readableByNone(long now) {
+		List<EntrySession> responsive = responsiveSessions(now);
+		return !responsive.isEmpty() && responsive.stream().allMatch((session) -> configUnreadable(session.progress()));
+	}
+
+	private static boolean configUnreadable(EntryProgress entry) {
+		return entry.lag().filter(LagReason.CONFIG_UNREADABLE.name()::equals).isPresent();
+	}
+
 	// Logs entry instances that have fallen behind or caught up since the last check.
 	void checkLag(long now) {
 		countInstances(now);
 		this.sessions.values().forEach((session) -> {
-			boolean behind = session.flowControl().oldestUnacknowledgedAgeNanos(now) > BEHIND_THRESHOLD_NANOS;
-			if (behind != session.behind) {
-				session.behind = behind;
-				this.events.log(NodeEvent.ENTRY_BEHIND, "entry", session.name(), "behind", behind, "millis",
-						session.flowControl().oldestUnacknowledgedAgeNanos(now) / MILLISECOND, "queued-bytes",
+			EntryProgress entry = session.progress();
+			session.noteProgress(now);
+			long millis = entry.ageNanos(now) / MILLISECOND;
+			if (entry.behindChanged(now)) {
+				this.events.log(NodeEvent.ENTRY_BEHIND, "entry", session.name(), "behind", entry.behind(now), "reason",
+						entry.lag().orElse(""), "millis", millis, "config", entry.configVersion(), "queued-bytes",
 						session.link().queuedBytes(), "acknowledged", session.flowControl().acknowledgedSequence(),
 						"sent", session.flowControl().lastSentState().sequence(), "sent-config",
 						session.flowControl().sentConfigVersion());
@@ -236,6 +269,14 @@
 		});
 	}
 
+	private long count(Predicate<EntryProgress> condition) {
+		return this.progress.values().stream().filter(condition).count();
+	}
+
+	private long maxAppliedAgeNanos(long now) {
+		return this.sessions.values().stream().mapToLong((session) -> session.progress().ageNanos(now)).max().orElse(0);
+	}
+
 	private long maxBehindNanos(long now) {
 		return this.sessions.values()
 			.stream()
@@ -255,7 +296,8 @@
 		if (this.confirmations.remove(confirmation)) {
 			long now = System.nanoTime();
 			List<EntrySession> unconfirmed = responsiveSessions(now).stream()
-				.filter((session) -> session.flowControl().acknowledgedSequence() < confirmation.sequence())
+				.filter((session) -> session.flowControl().acknowledgedSequence() < confirmation.sequence()
+						|| session.progress().lag().isPresent())
 				.toList();
 			this.events.log(NodeEvent.CHANGE_CONFIRMED, "version", confirmation.configVersion(), "view",
 					confirmation.sequence(), "millis", (now - confirmation.sinceNanos()) / MILLISECOND,
@@ -264,7 +306,7 @@
 						.limit(MAX_LOGGED_NAMES)
 						.map(EntrySession::name)
 						.collect(Collectors.joining(" ")));
-			confirmation.reply().run();
+			confirmation.reply().accept(readableByNone(now));
 		}
 	}
 
@@ -291,9 +333,10 @@
 	 * @param sequence the sequence number of the view that they must have acknowledged
 	 * @param configVersion the version of the configuration in that view
 	 * @param sinceNanos the monotonic time at which the delay began
-	 * @param reply sends the response
+	 * @param reply sends the response; it is told whether no entry instance can read the
+	 * configuration
 	 */
-	private record Confirmation(long sequence, long configVersion, long sinceNanos, Runnable reply) {
+	private record Confirmation(long sequence, long configVersion, long sinceNanos, Consumer<Boolean> reply) {
 	}
 
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/ControlLinks.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/ControlLinks.java
@@ -157,7 +157,9 @@
 			addReplicas(info.replicas());
 			if (info.leading() && this.leader != link) {
 				this.leader = link;
+				this.listener.leaderHeard(link);
 				link.send(this.listener.hello());
+				link.send(this.listener.report());
 				this.events.log(NodeEvent.CONTROL_HEARD, "leader", info.leader());
 			}
 			else if (!info.leading() && this.leader == link) {
@@ -167,6 +169,9 @@
 		}
 		if (link == this.leader) {
 			this.lastLeaderContactNanos = System.nanoTime();
+			if (message instanceof LinkMessage.LeaderInfo info) {
+				info.followed().ifPresent(this.listener::followedByAny);
+			}
 		}
 		this.listener.received(link, message);
 	}
@@ -179,6 +184,12 @@
 		// Returns the message that introduces this instance and serves as heartbeat.
 		LinkMessage.EntryHello hello();
 
+		// Called when a leader is heard on another link than before, or again.
+		void leaderHeard(Link link);
+
+		// Called when the leader states whether any entry instance follows it.
+		void followedByAny(boolean any);
+
 		// Returns the usage since the previous report, and acknowledges the current
 		// view.
 		LinkMessage.Report report();
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -16,6 +16,7 @@
 import org.redwingramp.core.fleet.EntryReport.KeyUse;
 import org.redwingramp.core.fleet.EntryReport.TargetUse;
 import org.redwingramp.core.fleet.FleetView;
+import org.redwingramp.core.fleet.LagReason;
 import org.redwingramp.core.fleet.ViewFlowControl;
 import org.redwingramp.core.observation.EntryObservations;
 import org.redwingramp.core.observation.Observation;
@@ -139,6 +140,13 @@
 
 	private HttpServer callerServer;
 
+	private final ViewLag lag = new ViewLag();
+
+	// The link on which the last view of the newest known term was received.
+	private Link currentViewLink;
+
+	private Optional<LagReason> loggedLag = Optional.empty();
+
 	private boolean stopping;
 
 	// Until when a process that is stopping keeps running in any case, when it breaks off
@@ -181,6 +189,7 @@
 		EntryNode node = new EntryNode(loop, settings, dialect, events);
 		node.callerServer = HttpServer.start(loop, settings.listen(), node::limits, node::handle, node.requestMemory);
 		node.callerServer.onBodyRefused(node::bodyRefused);
+		node.callerServer.closeConnectionsWhile(node::yieldsToOthers);
 		HttpServer.start(loop, settings.readiness(), node::limits, node::readiness);
 		node.control.start();
 		node.addGauges(events.metrics());
@@ -243,6 +252,9 @@
 		metrics.gauge("unfinished_answer_bytes", () -> this.view.unfinishedAnswerBytes());
 		metrics.gauge("request_body_bytes", () -> this.requestMemory.reservedBytes());
 		metrics.gauge("request_bodies_refused", () -> this.requestMemory.refusedBodies());
+		metrics.gauge("newest_config_version", () -> this.view.newestConfigVersion());
+		metrics.gauge("not_following_millis",
+				() -> lagReason(System.nanoTime()).isPresent() ? this.lag.ageMillis(System.nanoTime()) : 0);
 		metrics.gauge("requests_waiting_for_owner", () -> this.waitingForOwner.size());
 	}
 
@@ -283,7 +295,7 @@
 	}
 
 	private void readiness(HttpExchange exchange) {
-		boolean ready = !this.stopping && this.view.config().isPresent();
+		boolean ready = !this.stopping && this.view.config().isPresent() && lagReason(System.nanoTime()).isEmpty();
 		exchange.respond(
 				HttpResponse.empty(this.dialect.isReadinessRequest(exchange.request()) ? (ready ? 200 : 503) : 404));
 	}
@@ -309,6 +321,8 @@
 
 	@Override
 	public LinkMessage.Report report() {
+		long now = System.nanoTime();
+		checkLag(now);
 		List<TargetUse> targets = new ArrayList<>();
 		this.view.allTargets().forEach((target) -> {
 			TargetUse usage = target.drainUsage();
@@ -322,8 +336,51 @@
 		this.keyUseMillis.clear();
 		this.unacknowledgedBytes = 0;
 		return new LinkMessage.Report(this.settings.instance(), this.view.term(), this.view.sequence(),
-				new EntryReport(targets, keys, this.observations.drainUnreported(System.nanoTime()), leavingTargets()),
-				Optional.of(System.nanoTime() / MILLISECOND));
+				new EntryReport(targets, keys, this.observations.drainUnreported(now), leavingTargets()),
+				Optional.of(now / MILLISECOND), Optional.of(this.view.configVersion()), lagReason(now).map(Enum::name));
+	}
+
+	@Override
+	public void leaderHeard(Link link) {
+		long now = System.nanoTime();
+		if (link == this.currentViewLink) {
+			this.lag.ended(LagReason.VIEW_MISSING);
+		}
+		else {
+			this.lag.viewOwed(this.control.leaderContactAgeNanos(now), now);
+		}
+	}
+
+	@Override
+	public void followedByAny(boolean any) {
+		this.lag.followedByAny(any);
+	}
+
+	private Optional<LagReason> lagReason(long now) {
+		return this.lag.reason(this.control.leaderContactAgeNanos(now), now);
+	}
+
+	// Logs that this instance has stopped or resumed following.
+	private void checkLag(long now) {
+		Optional<LagReason> current = lagReason(now);
+		if (!current.equals(this.loggedLag)) {
+			this.loggedLag = current;
+			this.events.log(NodeEvent.FOLLOWING_CHANGED, "follows", current.isEmpty(), "reason",
+					current.map(Enum::name).orElse(""), "millis", this.lag.ageMillis(now), "config",
+					this.view.configVersion(), "newest-config", this.view.newestConfigVersion(), "term",
+					this.view.term(), "view", this.view.sequence());
+		}
+	}
+
+	// Returns whether requests are refused, since other instances follow the leader and
+	// this one doesn't.
+	boolean refusesAsNotFollowing(long now) {
+		return this.lag.refuses(this.control.leaderContactAgeNanos(now), now);
+	}
+
+	private boolean yieldsToOthers() {
+		long now = System.nanoTime();
+		return this.lag.yieldsToOthers(this.control.leaderContactAgeNanos(now), now);
 	}
 
 	// Reported until the leader knows, since the report to a former leader may be lost.
@@ -369,23 +426,47 @@
 	}
 
 	private void apply(Link link, FleetView update) {
-		EntryView.Outcome outcome = this.view.apply(update, System.nanoTime());
+		long now = System.nanoTime();
+		EntryView.Outcome outcome = tryApply(link, update, now);
 		if (update.document().isPresent() || outcome != EntryView.Outcome.TAKEN) {
 			this.events.log(NodeEvent.VIEW_APPLIED, "taken", outcome == EntryView.Outcome.TAKEN, "outcome", outcome,
 					"term", update.term(), "sequence", update.sequence(), "base", update.base(), "config",
 					update.configVersion());
 		}
-		switch (outcome) {
-			case TAKEN -> viewApplied(update);
-			case OUTDATED -> {
-			}
+		if (outcome == EntryView.Outcome.INCOMPLETE) {
+			this.lag.began(LagReason.VIEW_MISSING, now);
 			// The leader sends a full view first on a new link.
-			case INCOMPLETE -> link.close();
+			link.close();
+		}
+		else if (update.term() == this.view.term()) {
+			this.lag.ended(LagReason.VIEW_MISSING);
+			this.currentViewLink = link;
+		}
+		if (outcome == EntryView.Outcome.TAKEN) {
+			viewApplied(update);
+		}
+	}
+
+	private EntryView.Outcome tryApply(Link link, FleetView update, long now) {
+		try {
+			return this.view.apply(update, now);
+		}
+		catch (RuntimeException ex) {
+			this.lag.began(LagReason.VIEW_MISSING, now);
+			link.close();
+			throw ex;
 		}
 	}
 
 	private void viewApplied(FleetView update) {
 		long now = System.nanoTime();
+		if (this.view.configOutdated()) {
+			this.lag.began(LagReason.CONFIG_UNREADABLE, now);
+		}
+		else {
+			this.lag.ended(LagReason.CONFIG_UNREADABLE);
+		}
+		checkLag(now);
 		this.unacknowledgedBytes += update.estimatedBytes();
 		skipped(this.view.skipped());
 		skipped(receivedObservations(update, now));
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/Refusal.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/Refusal.java
@@ -57,6 +57,12 @@
 	 */
 	OUT_OF_TOUCH(503),
 
+	/**
+	 * This instance doesn't follow the leader, so its configuration and targets may be
+	 * out of date, and other entry instances do.
+	 */
+	NOT_FOLLOWING(503),
+
 	/** The request may have run, but no complete response was received. */
 	NO_ANSWER(502),
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -136,6 +136,10 @@
 			refuse(Refusal.NO_CONFIG, DEFAULT_RETRY_AFTER_MILLIS);
 			return;
 		}
+		if (this.node.refusesAsNotFollowing(System.nanoTime())) {
+			refuse(Refusal.NOT_FOLLOWING, RETRY_ELSEWHERE_MILLIS);
+			return;
+		}
 		Optional<Route> found = this.node.view().route(this.fields.host(), this.exchange.request().path());
 		if (found.isEmpty()) {
 			refuse(Refusal.NO_ROUTE, 0);
@@ -199,6 +203,10 @@
 			refuseOrFail(Refusal.STOPPING, RETRY_ELSEWHERE_MILLIS);
 			return;
 		}
+		if (this.node.refusesAsNotFollowing(now)) {
+			refuseOrFail(Refusal.NOT_FOLLOWING, RETRY_ELSEWHERE_MILLIS);
+			return;
+		}
 		OptionalLong quarantineLeft = quarantineLeftMillis(now);
 		if (quarantineLeft.isPresent()) {
 			refuseOrFail(Refusal.CRASHES_TARGETS, quarantineLeft.getAsLong());
--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
@@ -98,6 +98,9 @@
 	/** A target stated in a refusal that it wants no requests for some time. */
 	TARGET_PAUSES(7213, true),
 
+	/** This entry instance has stopped or resumed following the control leader. */
+	FOLLOWING_CHANGED(7214, true),
+
 	/** This replica's role changed. */
 	ROLE_CHANGED(7301, false),
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/HttpServer.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.eclipse.jetty.http.HttpParser;
@@ -32,6 +33,8 @@
 	private BodyRefusedListener bodyRefusedListener = (target, headers, bytes) -> {
 	};
 
+	private BooleanSupplier closing = () -> false;
+
 	private boolean draining;
 
 	private HttpServer(Supplier<HttpLimits> limits, HttpHandler handler, BodyMemoryLimit memory) {
@@ -124,6 +127,15 @@
 		List.copyOf(this.connections).forEach(ServerConnection::closeIfIdle);
 	}
 
+	/**
+	 * Sets when connections are closed after their next response, so that callers open
+	 * them elsewhere.
+	 * @param condition whether they are closed at present
+	 */
+	public void closeConnectionsWhile(BooleanSupplier condition) {
+		this.closing = condition;
+	}
+
 	/**
 	 * Returns the number of requests whose responses aren't written yet.
 	 * @return the number of requests
@@ -148,8 +160,8 @@
 		this.bodyRefusedListener.bodyRefused(target, headers, bytes);
 	}
 
-	boolean draining() {
-		return this.draining;
+	boolean closesAfterResponse() {
+		return this.draining || this.closing.getAsBoolean();
 	}
 
 	void handle(HttpExchange exchange) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
@@ -204,7 +204,7 @@
 		this.responded = true;
 		this.requestStarted = false;
 		this.lastActivityNanos = System.nanoTime();
-		boolean close = this.server.draining() || this.legacyProtocol
+		boolean close = this.server.closesAfterResponse() || this.legacyProtocol
 				|| Header.lists(exchange.request().headers(), "Connection", "close");
 		HttpSerializer.writeResponse(this.tcp, response, close, exchange.request().method().equals("HEAD"));
 		if (close) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkMessage.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkMessage.java
@@ -1,5 +1,6 @@
 package org.redwingramp.node.link;
 
+import java.util.List;
 import java.util.Optional;
 
 import org.redwingramp.core.consensus.PeerMessage;
@@ -54,9 +55,13 @@
 	 * @param report the observations
 	 * @param clockMillis the monotonic clock of the entry instance in milliseconds; empty
 	 * if the sender doesn't state it
+	 * @param configVersion the version of the configuration that it applies; empty if the
+	 * sender doesn't state it
+	 * @param lag the name of the {@link org.redwingramp.core.fleet.LagReason} if it
+	 * doesn't follow the leader; empty if it does or the sender doesn't state it
 	 */
-	record Report(String entry, long term, long sequence, EntryReport report,
-			Optional<Long> clockMillis) implements LinkMessage {
+	record Report(String entry, long term, long sequence, EntryReport report, Optional<Long> clockMillis,
+			Optional<Long> configVersion, Optional<String> lag) implements LinkMessage {
 	}
 
 	/**
@@ -65,8 +70,11 @@
 	 * @param leader the name of the leader, empty if it isn't known
 	 * @param leading whether the sender is the leader and accepts requests
 	 * @param replicas the names of the control replicas
+	 * @param followed whether any entry instance follows the sender; empty if it isn't
+	 * the leader or doesn't know yet
 	 */
-	record LeaderInfo(String leader, boolean leading, java.util.List<String> replicas) implements LinkMessage {
+	record LeaderInfo(String leader, boolean leading, List<String> replicas,
+			Optional<Boolean> followed) implements LinkMessage {
 	}
 
 	/**
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
@@ -33,8 +33,8 @@
 		EntryReport report = new EntryReport(List.of(new EntryReport.TargetUse("t", 1, 1, 1)),
 				List.of(new EntryReport.KeyUse("s", 1, 1)), List.of(SAMPLE_LIMIT));
 		roundTrip(new LinkMessage.EntryHello("e", 1));
-		roundTrip(new LinkMessage.LeaderInfo("l", true, List.of("l")));
-		roundTrip(new LinkMessage.Report("e", 1, 1, report, Optional.of(1L)));
+		roundTrip(new LinkMessage.LeaderInfo("l", true, List.of("l"), Optional.of(true)));
+		roundTrip(new LinkMessage.Report("e", 1, 1, report, Optional.of(1L), Optional.of(1L), Optional.empty()));
 		roundTrip(new LinkMessage.View(sampleView()));
 		roundTrip(new LinkMessage.PermitRequest(1, "t", 1, Optional.of(SAMPLE_LIMIT), 1));
 		roundTrip(new LinkMessage.PermitReply(1, true, 1));
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/SlowEntry.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/SlowEntry.java
@@ -87,7 +87,8 @@
 			this.configReadNanos.put(view.configVersion(), System.nanoTime());
 		}
 		send(new LinkMessage.Report("slow", view.term(), view.sequence(),
-				new EntryReport(List.of(), List.of(), List.of()), Optional.empty()));
+				new EntryReport(List.of(), List.of(), List.of()), Optional.empty(), Optional.empty(),
+				Optional.empty()));
 	}
 
 	private void send(LinkMessage message) throws IOException, CodecException {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TestPeer.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TestPeer.java
@@ -5,10 +5,12 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import org.redwingramp.core.fleet.FleetView;
 import org.redwingramp.node.link.LinkMessage;
 import org.redwingramp.wire.CodecException;
 import org.redwingramp.wire.RecordCodec;
@@ -27,6 +29,8 @@
 
 	private final BlockingQueue<LinkMessage> received = new LinkedBlockingQueue<>();
 
+	private volatile Optional<FleetView> newestView = Optional.empty();
+
 	TestPeer(InetSocketAddress replica) throws IOException {
 		this.socket.connect(replica);
 		Thread reader = new Thread(this::read, "test peer");
@@ -58,6 +62,11 @@
 		}
 	}
 
+	// Returns the view that was received last, if any.
+	Optional<FleetView> newestView() {
+		return this.newestView;
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.socket.close();
@@ -68,7 +77,11 @@
 			while (true) {
 				byte[] message = new byte[in.readInt()];
 				in.readFully(message);
-				this.received.add(CODEC.decode(message));
+				LinkMessage decoded = CODEC.decode(message);
+				if (decoded instanceof LinkMessage.View update) {
+					this.newestView = Optional.of(update.view());
+				}
+				this.received.add(decoded);
 			}
 		}
 		catch (IOException | CodecException ex) {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -66,6 +66,14 @@
 
 	private final int callerPort;
 
+	private final int readyPort;
+
+	// Whether any entry instance follows the simulated leader, as it says.
+	volatile Optional<Boolean> followed = Optional.empty();
+
+	// The last report of the entry instance.
+	volatile LinkMessage.Report lastReport;
+
 	// How the simulated leader answers questions for permits; it doesn't answer if empty.
 	volatile Optional<Boolean> grantsPermits = Optional.empty();
 
@@ -90,10 +98,11 @@
 		this.loop = new EventLoop((failure) -> failure.printStackTrace());
 		this.events = new EventWriter(this.log, "test");
 		this.callerPort = freePort();
+		this.readyPort = freePort();
 		int peerPort = freePort();
-		this.loop.listen(local(peerPort), (tcp) -> Link.accepted(tcp, this::received, (link) -> {
-		}));
-		EntrySettings settings = new EntrySettings("test", "d", local(this.callerPort), local(freePort()), peerPort,
+		this.loop.listen(local(peerPort),
+				(tcp) -> Link.accepted(tcp, this::received, (link) -> this.entryLink.compareAndSet(link, null)));
+		EntrySettings settings = new EntrySettings("test", "d", local(this.callerPort), local(this.readyPort), peerPort,
 				List.of("127.0.0.1"), 0.2, 50, graceNanos, DRAIN_NANOS);
 		this.node = EntryNode.start(this.loop, settings, new TestDialect(), this.events);
 		LoopThread.start(this.loop);
@@ -134,13 +143,18 @@
 			.toList();
 		FleetView view = new FleetView(1, this.sequence, 0, 1, this.instances, Optional.of(new byte[] { 1 }), list,
 				List.of(), Map.of("s", List.of(new ViewRange(0, 65_535, owner))), List.of());
+		send(view);
+		awaitLogged("\"sequence\":" + this.sequence + ",");
+	}
+
+	// Sends a view on the present link.
+	void send(FleetView view) throws Exception {
 		CompletableFuture<Void> sent = new CompletableFuture<>();
 		this.loop.post(() -> {
 			this.entryLink.get().send(new LinkMessage.View(view));
 			sent.complete(null);
 		});
 		sent.get();
-		awaitLogged("\"sequence\":" + this.sequence + ",");
 	}
 
 	void awaitLogged(String text) throws InterruptedException {
@@ -149,6 +163,43 @@
 		}
 	}
 
+	// Says on the present link whether its sender leads.
+	void sendLeading(boolean leading) {
+		this.loop.post(() -> this.entryLink.get()
+			.send(new LinkMessage.LeaderInfo("127.0.0.1", leading, List.of("127.0.0.1"), this.followed)));
+	}
+
+	// Waits until the entry instance reports that it has applied a view.
+	void awaitApplied(long term, long sequence) throws Exception {
+		for (int i = 0; i < APPLY_ATTEMPTS && !applied(term, sequence); i++) {
+			Thread.sleep(5);
+		}
+	}
+
+	private boolean applied(long term, long sequence) {
+		LinkMessage.Report last = this.lastReport;
+		return last != null && last.term() == term && last.sequence() == sequence;
+	}
+
+	// Returns the status line and headers of the response to a question for readiness.
+	String readiness() throws IOException {
+		return head(this.readyPort, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+	}
+
+	// Sends a request on a connection that is to be kept, and returns the status line and
+	// headers of the response.
+	String callKept(String path, String id) throws IOException {
+		return head(this.callerPort, "GET " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nKey: 7\r\n\r\n");
+	}
+
+	private static String head(int port, String request) throws IOException {
+		try (Socket socket = new Socket("127.0.0.1", port)) {
+			socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+			socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+			return ScriptedTarget.readHead(socket.getInputStream());
+		}
+	}
+
 	// Asks the entry instance to relay a grant of the leader of the given term, and
 	// returns the outcome.
 	GrantOutcome relay(long term, ScriptedTarget target) throws Exception {
@@ -193,7 +244,7 @@
 
 	private void received(Link link, LinkMessage message) {
 		if (message instanceof LinkMessage.EntryHello && this.entryLink.get() == null) {
-			link.send(new LinkMessage.LeaderInfo("127.0.0.1", true, List.of("127.0.0.1")));
+			link.send(new LinkMessage.LeaderInfo("127.0.0.1", true, List.of("127.0.0.1"), this.followed));
 			this.entryLink.set(link);
 		}
 		else if (message instanceof LinkMessage.RelayReply reply) {
@@ -206,7 +257,8 @@
 		else if (message instanceof LinkMessage.Report report) {
 			this.observations.addAll(report.report().observations());
 			this.leaving.addAll(report.report().leaving());
-			link.send(new LinkMessage.LeaderInfo("127.0.0.1", true, List.of("127.0.0.1")));
+			this.lastReport = report;
+			link.send(new LinkMessage.LeaderInfo("127.0.0.1", true, List.of("127.0.0.1"), this.followed));
 		}
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/link/LinkMessageTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/link/LinkMessageTests.java
@@ -53,8 +53,10 @@
 		GrantCall call = new GrantCall("t", false, 0, 9, 1L << 40, 3000, Optional.of("token"));
 		for (LinkMessage message : List.of(new LinkMessage.ReplicaHello(replica, true),
 				new LinkMessage.Consensus(replica, new PeerMessage.PreVoteReply(3, true)),
-				new LinkMessage.EntryHello("e", 4), new LinkMessage.Report("e", 1, 2, report, Optional.of(8L)),
-				new LinkMessage.LeaderInfo("", false, List.of("a", "b")), new LinkMessage.View(LinkWarmup.sampleView()),
+				new LinkMessage.EntryHello("e", 4),
+				new LinkMessage.Report("e", 1, 2, report, Optional.of(8L), Optional.of(4L), Optional.of("lag")),
+				new LinkMessage.LeaderInfo("", false, List.of("a", "b"), Optional.of(true)),
+				new LinkMessage.View(LinkWarmup.sampleView()),
 				new LinkMessage.PermitRequest(6, "t", 5.9, Optional.of(limit), 200),
 				new LinkMessage.PermitReply(6, true, 15),
 				new LinkMessage.RelayCall(5, 3, "10.0.0.1:80", call, Optional.of(9L)),
@@ -73,11 +75,17 @@
 		assertThat(decodeChanged(new LinkMessage.RelayCall(5, 3, "10.0.0.1:80", call, Optional.of(9L)),
 				(fields) -> fields.remove("notAfterMillis")))
 			.isEqualTo(new LinkMessage.RelayCall(5, 3, "10.0.0.1:80", call, Optional.empty()));
-		assertThat(decodeChanged(new LinkMessage.Report("e", 1, 2, report, Optional.of(8L)), (fields) -> {
-			((ObjectNode) fields.get("report")).remove(List.of("leaving", "observations"));
-			fields.remove("clockMillis");
-		})).isEqualTo(
-				new LinkMessage.Report("e", 1, 2, new EntryReport(List.of(), List.of(), List.of()), Optional.empty()));
+		assertThat(decodeChanged(
+				new LinkMessage.Report("e", 1, 2, report, Optional.of(8L), Optional.of(4L), Optional.of("lag")),
+				(fields) -> {
+					((ObjectNode) fields.get("report")).remove(List.of("leaving", "observations"));
+					fields.remove(List.of("clockMillis", "configVersion", "lag"));
+				}))
+			.isEqualTo(new LinkMessage.Report("e", 1, 2, new EntryReport(List.of(), List.of(), List.of()),
+					Optional.empty(), Optional.empty(), Optional.empty()));
+		assertThat(decodeChanged(new LinkMessage.LeaderInfo("l", true, List.of("l"), Optional.of(false)),
+				(fields) -> fields.remove("followed")))
+			.isEqualTo(new LinkMessage.LeaderInfo("l", true, List.of("l"), Optional.empty()));
 		LinkMessage.View view = new LinkMessage.View(LinkWarmup.sampleView());
 		assertThat(decodeChanged(view, (fields) -> {
 			fields.put("newer", 1);
