Answer requests whose handling fails unexpectedly

Callers saw: after an unexpected exception while a request was handled, no answer until the deadline, or none at all.

Cause: the event loop logs the exception, and nobody ends the request.

Change: RequestExecution runs each step guarded. On an exception it logs one line with the id of the request and answers at once: 503 if the request was never sent, 502 if it may have run. HttpServer answers 500 and closes the connection if any other handler throws.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/Refusal.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/Refusal.java
@@ -63,6 +63,9 @@
 	 */
 	NOT_FOLLOWING(503),
 
+	/** An unexpected exception occurred before the request was sent. */
+	UNEXPECTED(503),
+
 	/** The request may have run, but no complete response was received. */
 	NO_ANSWER(502),
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -29,7 +30,8 @@
  * caller disconnects). Invariants: a request that isn't idempotent is never sent again
  * once a byte may have reached a target, unless that target reported that it didn't run
  * the request; a response that the request was not run is sent only if no attempt may
- * have run it. Not thread safe; confined to the event loop thread.
+ * have run it; an unexpected exception ends the request with a response at once. Not
+ * thread safe; confined to the event loop thread.
  */
 final class RequestExecution {
 
@@ -65,6 +67,10 @@
 	 */
 	private static final int MAX_SENDS = 5;
 
+	// Until the fields of the request are read.
+	private static final RequestFields NO_FIELDS = new RequestFields(Optional.empty(), OptionalLong.empty(),
+			OptionalInt.empty(), "");
+
 	private static final int MISDIRECTED_STATUS = 421;
 
 	private static final int UNAVAILABLE_STATUS = 503;
@@ -84,7 +90,7 @@
 
 	private final List<TargetConnections.Call> formerCalls = new ArrayList<>();
 
-	private RequestFields fields;
+	private RequestFields fields = NO_FIELDS;
 
 	private Route route;
 
@@ -131,6 +137,10 @@
 	}
 
 	void start() {
+		guarded(this::readAndAttempt);
+	}
+
+	private void readAndAttempt() {
 		this.fields = this.node.dialect().requestFields(this.exchange.request());
 		if (this.node.view().config().isEmpty()) {
 			refuse(Refusal.NO_CONFIG, DEFAULT_RETRY_AFTER_MILLIS);
@@ -163,15 +173,16 @@
 			refuse(Refusal.STOPPING, RETRY_ELSEWHERE_MILLIS);
 			return;
 		}
-		this.deadlineTimer = this.node.loop().schedule(this.deadlineNanos - System.nanoTime(), this::deadlineExpired);
-		this.exchange.onAbandoned(this::callerDisconnected);
+		this.deadlineTimer = this.node.loop()
+			.schedule(this.deadlineNanos - System.nanoTime(), () -> guarded(this::deadlineExpired));
+		this.exchange.onAbandoned(() -> guarded(this::callerDisconnected));
 		this.node.retryBudget(this.service).firstAttemptSent();
 		attempt();
 	}
 
 	void retryAfterViewChange() {
 		if (!this.finished && this.call == null) {
-			attempt();
+			guarded(this::attempt);
 		}
 	}
 
@@ -195,6 +206,29 @@
 		return this.node.stopsBefore(this.deadlineNanos, this.route.kind().repeatable(), now);
 	}
 
+	// Runs a step of the execution. The caller isn't left without an answer if it fails.
+	private void guarded(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException ex) {
+			failUnexpectedly(ex);
+		}
+	}
+
+	private void failUnexpectedly(RuntimeException cause) {
+		if (this.finished) {
+			throw cause;
+		}
+		StackTraceElement[] stack = cause.getStackTrace();
+		this.node.events()
+			.log(NodeEvent.UNEXPECTED_FAILURE, "duty", "handle request", "request", requestId(), "failure", cause,
+					"stack", (stack.length > 0) ? stack[0] : "", "sends", this.sends);
+		cancelCall();
+		this.mayHaveRun |= this.sends > 0;
+		refuseOrFail(Refusal.UNEXPECTED, DEFAULT_RETRY_AFTER_MILLIS);
+	}
+
 	private void attempt() {
 		long now = System.nanoTime();
 		cancelOwnerWait();
@@ -365,6 +399,10 @@
 
 	// Sends the request unless its key has another owner by now.
 	void sendPermitted(EntryTarget candidate) {
+		guarded(() -> sendIfStillOwner(candidate));
+	}
+
+	private void sendIfStillOwner(EntryTarget candidate) {
 		this.permit = null;
 		long now = System.nanoTime();
 		boolean stillOwner = !this.sharded
@@ -385,6 +423,10 @@
 	}
 
 	void permitRefused(EntryTarget candidate, Refusal reason, long delayMillis) {
+		guarded(() -> attemptWithoutPermit(candidate, reason, delayMillis));
+	}
+
+	private void attemptWithoutPermit(EntryTarget candidate, Refusal reason, long delayMillis) {
 		this.permit = null;
 		long now = System.nanoTime();
 		if (!this.sharded && hasUnlimitedTarget(now)) {
@@ -616,7 +658,7 @@
 		this.ownerWaitTimer = this.node.loop().schedule(nanos, () -> {
 			this.ownerWaitTimer = null;
 			if (retrySameOwner) {
-				attempt();
+				guarded(this::attempt);
 			}
 			else {
 				refuseOrFail(Refusal.KEY_MOVING, DEFAULT_RETRY_AFTER_MILLIS);
@@ -754,6 +796,16 @@
 
 		@Override
 		public ResponseMatch match(HttpResponse response) {
+			try {
+				return matchIdentifier(response);
+			}
+			catch (RuntimeException ex) {
+				failUnexpectedly(ex);
+				return ResponseMatch.OTHER;
+			}
+		}
+
+		private ResponseMatch matchIdentifier(HttpResponse response) {
 			ResponseMatch match = RequestExecution.this.node.dialect()
 				.responseFields(response.headers())
 				.requestId()
@@ -767,12 +819,12 @@
 
 		@Override
 		public void answered(HttpResponse response) {
-			RequestExecution.this.responseReceived(response);
+			guarded(() -> responseReceived(response));
 		}
 
 		@Override
 		public void failed(CallFailure failure) {
-			RequestExecution.this.callFailed(failure);
+			guarded(() -> callFailed(failure));
 		}
 
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
@@ -31,6 +31,8 @@
 
 	private static final int CONTENT_TOO_LARGE = 413;
 
+	private static final int INTERNAL_SERVER_ERROR = 500;
+
 	private static final int SERVICE_UNAVAILABLE = 503;
 
 	/**
@@ -192,7 +194,21 @@
 		HttpRequest request = new HttpRequest(this.method, this.target, this.headers, this.body.take());
 		this.headers = new ArrayList<>();
 		this.current = new Exchange(request, System.nanoTime());
-		this.server.handle(this.current);
+		try {
+			this.server.handle(this.current);
+		}
+		catch (RuntimeException ex) {
+			answerUnexpectedFailure();
+			throw ex;
+		}
+	}
+
+	// The caller would wait for a response until its own timeout otherwise.
+	private void answerUnexpectedFailure() {
+		if (this.current != null) {
+			this.current = null;
+			reject(INTERNAL_SERVER_ERROR);
+		}
 	}
 
 	private void sendResponse(Exchange exchange, HttpResponse response) {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
@@ -41,6 +41,36 @@
 		assertThat(this.entry.call("/lookup/a", "1")).startsWith("HTTP/1.1 503").contains("Retry-Millis: 250");
 	}
 
+	/**
+	 * Guards against an unexpected exception that leaves a request without an answer. The
+	 * dialect of the tests fails to read such a key.
+	 */
+	@Test
+	void shouldRefuseARequestAtOnceThatFailsUnexpectedlyBeforeItIsSent() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget()) {
+			this.entry.sendView("t-0", target);
+			assertThat(this.entry.call("/book/a", "1\r\nKey: none")).startsWith("HTTP/1.1 503")
+				.contains("Retry-Millis: 250");
+			assertThat(target.requests).isEmpty();
+			this.entry.awaitLogged("unexpected-failure");
+		}
+	}
+
+	/**
+	 * Guards against a request that waits until its deadline after an unexpected
+	 * exception, and against a promise that it wasn't run although it may have been. The
+	 * dialect of the tests fails to read such a limit.
+	 */
+	@Test
+	void shouldFailARequestAtOnceThatFailsUnexpectedlyAfterItIsSent() throws Exception {
+		String unreadable = "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\nLimit: none\r\nContent-Length: 0\r\n\r\n";
+		try (ScriptedTarget target = new ScriptedTarget(unreadable)) {
+			this.entry.sendView("t-0", target);
+			assertThat(this.entry.call("/book-long/a", "1")).startsWith("HTTP/1.1 502");
+			target.connectionEnded.await();
+		}
+	}
+
 	/**
 	 * Guards against a stale grant: a leader that was suspended in the middle of a round
 	 * of grants resumes, and an entry instance relays its grant to the target although
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/RequestMemoryTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/RequestMemoryTests.java
@@ -127,6 +127,25 @@
 		}
 	}
 
+	/** Guards against a caller that waits for an answer which never comes. */
+	@Test
+	void shouldAnswerARequestWhoseHandlerFails() throws Exception {
+		this.handler = (exchange) -> {
+			throw new IllegalStateException("test");
+		};
+		try (Socket socket = connect()) {
+			socket.setSoTimeout(2000);
+			upload(socket, 10);
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 500").contains("Connection: close");
+		}
+		// The failure is reported after the response is sent.
+		while (this.failures.isEmpty()) {
+			Thread.sleep(5);
+		}
+		assertThat(this.failures).hasSize(1).first().isInstanceOf(IllegalStateException.class);
+		awaitReleased();
+	}
+
 	private void awaitReleased() throws Exception {
 		long reserved = -1;
 		while (reserved != 0) {
