Keep the event loop going after a stack overflow or a failure that can't be logged

An exception of a handler, timer or task never stopped the others; there was no test of it. But a stack overflow in one of them, or an exception while a failure was logged, ended the loop and with it the process.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/loop/EventLoop.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/loop/EventLoop.java
@@ -18,8 +18,9 @@
 
 /**
  * Runs the handlers of sockets and timers in one thread. It blocks until a socket is
- * ready, a timer is due or a task is posted. Only {@link #post} and {@link #stop} may be
- * called from other threads.
+ * ready, a timer is due or a task is posted. Invariant: a handler, timer or task that
+ * throws an exception ends by itself; the others of the iteration run, and a periodic
+ * task runs again. Only {@link #post} and {@link #stop} may be called from other threads.
  */
 public final class EventLoop {
 
@@ -205,7 +206,7 @@
 			}
 		}
 		catch (IOException ex) {
-			this.failureHandler.accept(ex);
+			reportFailure(ex);
 		}
 	}
 
@@ -226,7 +227,7 @@
 			connection.handleReady(key);
 		}
 		catch (OutOfMemoryError ex) {
-			this.failureHandler.accept(ex);
+			reportFailure(ex);
 			connection.fail(new IOException("out of memory", ex));
 		}
 	}
@@ -265,8 +266,18 @@
 		try {
 			action.run();
 		}
-		catch (RuntimeException | OutOfMemoryError ex) {
-			this.failureHandler.accept(ex);
+		catch (RuntimeException | OutOfMemoryError | StackOverflowError ex) {
+			reportFailure(ex);
+		}
+	}
+
+	// The loop goes on even if the failure can't be logged.
+	private void reportFailure(Throwable failure) {
+		try {
+			this.failureHandler.accept(failure);
+		}
+		catch (RuntimeException | OutOfMemoryError | StackOverflowError ex) {
+			System.err.println("failed to report " + failure + ": " + ex);
 		}
 	}
 
