--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/LostDisksTests.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/LostDisksTests.java
@@ -91,8 +91,8 @@
 		}
 	}
 
-	// Loses the disks right after an acknowledgement or at any moment in the middle of
-	// the writes. Sometimes all replicas lose power again while those without a disk are
+	// Loses the disks right after an acknowledgement, during a compaction or at any other
+	// moment. Sometimes all replicas lose power again while those without a disk are
 	// being added.
 	private void loseDisks(SimulatedGroup group, int lostDisks) throws StorageException {
 		group.runUntil("leader before the loss", RECOVERY_MILLIS, () -> group.leader().isPresent());
@@ -101,13 +101,16 @@
 		for (int i = 0; i < commands; i++) {
 			group.propose();
 		}
-		if (group.random().nextInt(3) > 0) {
+		if (group.random().nextBoolean()) {
 			int awaited = before + 1 + group.random().nextInt(commands);
 			group.runUntil("acknowledgement", RECOVERY_MILLIS, () -> {
 				proposeIfLeaderless(group);
 				return group.acknowledged().size() >= awaited;
 			});
 		}
+		else if (group.random().nextBoolean()) {
+			group.runUntilCompacting(CATCH_UP_MILLIS);
+		}
 		else {
 			group.run(group.random().nextInt(8));
 		}
--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/SimulatedGroup.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/SimulatedGroup.java
@@ -139,6 +139,20 @@
 		}
 	}
 
+	// Proposes commands until several replicas are compacting at once, which they do at
+	// the same entries.
+	void runUntilCompacting(long limitMillis) throws StorageException {
+		for (long i = 0; i < limitMillis; i++) {
+			if (this.replicas.values().stream().filter(SimulatedReplica::compacting).count() > 1) {
+				return;
+			}
+			if (i % 5 == 0) {
+				propose();
+			}
+			step();
+		}
+	}
+
 	void runUntil(String description, long limitMillis, BooleanSupplier condition) throws StorageException {
 		for (long i = 0; !condition.getAsBoolean(); i++) {
 			if (i >= limitMillis) {
--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/SimulatedReplica.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/SimulatedReplica.java
@@ -99,6 +99,14 @@
 		this.slowestSyncNanos = nanos;
 	}
 
+	// Returns whether a snapshot is being written.
+	boolean compacting() {
+		return Optional.ofNullable(this.pendingEffects.peek())
+			.flatMap(ReplicaEffects::persist)
+			.flatMap(PersistBatch::snapshot)
+			.isPresent();
+	}
+
 	// Returns the messages that were sent since the last call.
 	List<Outbound> takeOutbox() {
 		List<Outbound> taken = List.copyOf(this.outbox);
