--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TestPeer.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TestPeer.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -67,6 +68,11 @@
 		return this.newestView;
 	}
 
+	// Returns the messages of a kind that were received and not awaited.
+	<T extends LinkMessage> List<T> received(Class<T> kind) {
+		return this.received.stream().filter(kind::isInstance).map(kind::cast).toList();
+	}
+
 	@Override
 	public void close() throws IOException {
 		this.socket.close();
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -86,6 +86,7 @@
 	// The incarnations that the entry instance reported as leaving.
 	final BlockingQueue<Owner> leaving = new LinkedBlockingQueue<>();
 
+
 	private long sequence;
 
 	private final EntryNode node;
@@ -147,6 +148,15 @@
 		awaitLogged("\"sequence\":" + this.sequence + ",");
 	}
 
+	// Sends a full view of a leader that knows no configuration, and waits until the
+	// entry instance reports it as applied.
+	void sendViewWithoutConfig() throws Exception {
+		this.sequence++;
+		send(new FleetView(1, this.sequence, 0, 0, this.instances, Optional.empty(), List.of(), List.of(), Map.of(),
+				List.of()));
+		awaitApplied(1, this.sequence);
+	}
+
 	// Sends a view on the present link.
 	void send(FleetView view) throws Exception {
 		CompletableFuture<Void> sent = new CompletableFuture<>();
