--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetState.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetState.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 import org.redwingramp.core.fleet.FleetCommand.AssignKeys;
 import org.redwingramp.core.fleet.FleetCommand.ForgetTarget;
@@ -182,8 +183,13 @@
 	public FleetSnapshot snapshot() {
 		Map<String, List<OwnedRange>> ranges = new TreeMap<>();
 		this.keys.forEach((service, map) -> ranges.put(service, map.ranges()));
+		// The order in which targets left decides which are forgotten first.
+		List<FleetTarget> ordered = Stream
+			.concat(this.targets.values().stream().filter((target) -> target.stage() != FleetTarget.Stage.LEFT),
+					this.leftTargets.stream().map(this.targets::get))
+			.toList();
 		return new FleetSnapshot(this.configVersion, this.document, new TreeMap<>(this.acceptedDigests),
-				List.copyOf(this.domainsOut), List.copyOf(this.targets.values()), ranges, this.lastFence);
+				List.copyOf(this.domainsOut), ordered, ranges, this.lastFence);
 	}
 
 	private Outcome replace(ReplaceConfig change) {
@@ -241,7 +247,7 @@
 		KeyMap map = keys(assign.service());
 		assign.moves()
 			.stream()
-			.filter((move) -> target(move.owner()).isPresent())
+			.filter((move) -> move.keys().valid() && target(move.owner()).isPresent())
 			.forEach((move) -> map.assign(new OwnedRange(move.keys(), move.owner(), ++this.lastFence)));
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyRange.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyRange.java
@@ -14,6 +14,14 @@
 	/** The whole key space. */
 	public static final KeyRange ALL = new KeyRange(0, KEYS - 1);
 
+	/**
+	 * Returns whether the range isn't empty and lies in the key space.
+	 * @return whether the range can be assigned
+	 */
+	public boolean valid() {
+		return this.first >= 0 && this.first <= this.last && this.last < KEYS;
+	}
+
 	/**
 	 * Returns whether the range contains a key.
 	 * @param key the key
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetStateTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetStateTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 
@@ -94,6 +95,35 @@
 		assertThat(restored.keys("s").ranges()).extracting(OwnedRange::fence).containsExactly(2L);
 	}
 
+	/** Guards against a committed command that ends each replica that applies it. */
+	@Test
+	void shouldIgnoreKeysOutsideTheKeySpace() {
+		FleetTarget target = record("t-1", 1, Stage.SERVING);
+		this.state.apply(new AssignKeys("s", List.of(new Move(new KeyRange(9, 12), target.owner()))));
+		this.state.apply(new AssignKeys("s",
+				List.of(new Move(new KeyRange(10, 5), target.owner()), new Move(KeyRange.ALL, target.owner()),
+						new Move(new KeyRange(-1, 5), target.owner()),
+						new Move(new KeyRange(0, 65_536), target.owner()))));
+		assertThat(this.state.keys("s").ranges()).extracting(OwnedRange::keys).containsExactly(KeyRange.ALL);
+	}
+
+	/**
+	 * Guards against replicas that forget different targets, since one of them has read a
+	 * snapshot.
+	 */
+	@Test
+	void shouldForgetTheSameTargetsAfterASnapshot() {
+		int left = 1100;
+		IntStream.range(0, left / 2).forEach((i) -> record("t-" + (left - i), i, Stage.LEFT));
+		FleetState restored = new FleetState(this.state.snapshot());
+		for (FleetState replica : List.of(this.state, restored)) {
+			IntStream.range(left / 2, left)
+				.forEach((i) -> replica.apply(new RecordTarget(
+						new FleetTarget("t-" + (left - i), i, "s", "10.0.0.1:1", "d", 3, Stage.LEFT))));
+		}
+		assertThat(restored.snapshot().targets()).isEqualTo(this.state.snapshot().targets());
+	}
+
 	private FleetResult replace(long base, long version, String document) {
 		return this.state.apply(new ReplaceConfig(base, version, bytes(document)));
 	}
