Refuse a configuration clearly that exceeds the size of a command

What operators saw: a configuration of more than 1 MiB, up to the 4 MiB of a call, was answered 503 each time it was sent (the change may or may not be committed): the log refuses commands of that size, and that was reported like an unknown outcome. It is refused as invalid now, with its size and the limit.

Evidence: ControlNodeTests.shouldRefuseAConfigurationThatExceedsTheSizeOfACommand fails without the change, by 100 calls without a clear answer.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/Replicas.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/Replicas.java
@@ -10,6 +10,12 @@
  */
 public final class Replicas {
 
+	/**
+	 * Maximum size of a command in bytes, well below the frame limit of 5 MiB between
+	 * daemons. Larger ones are never appended.
+	 */
+	public static final int MAX_COMMAND_BYTES = 1024 * 1024;
+
 	private Replicas() {
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Proposals.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/internal/Proposals.java
@@ -6,6 +6,7 @@
 import org.redwingramp.core.consensus.ProposalResult;
 import org.redwingramp.core.consensus.ProposalResult.Status;
 import org.redwingramp.core.consensus.ReplicaEvent.Propose;
+import org.redwingramp.core.consensus.Replicas;
 
 /**
  * Appends the leader's proposals and keeps track of those that are not committed yet. Not
@@ -19,9 +20,6 @@
 	 */
 	static final long MAX_UNCOMMITTED_BYTES = 4L * 1024 * 1024;
 
-	/** Maximum size of a command, well below the frame limit of 5 MiB between daemons. */
-	static final int MAX_COMMAND_BYTES = 1024 * 1024;
-
 	private final Context context;
 
 	private final TreeMap<Long, ProposalResult> appendedByIndex = new TreeMap<>();
@@ -37,7 +35,7 @@
 	// Returns whether the command was appended.
 	boolean append(Propose proposal) {
 		long size = proposal.command().length;
-		if (size > MAX_COMMAND_BYTES || this.context.log().uncommittedBytes() + size > MAX_UNCOMMITTED_BYTES) {
+		if (size > Replicas.MAX_COMMAND_BYTES || this.context.log().uncommittedBytes() + size > MAX_UNCOMMITTED_BYTES) {
 			reject(proposal, Status.OVERLOADED);
 			return false;
 		}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.redwingramp.core.consensus.Replicas;
 import org.redwingramp.core.dispatch.RateReservations.Reservation;
 import org.redwingramp.core.fleet.FleetCommand;
 import org.redwingramp.core.fleet.FleetController;
@@ -99,9 +100,12 @@
 	private static final int MAX_LOGGED_FAILURES = 100;
 
 	/**
-	 * Limits of the HTTP server for control calls. The maximum body fits a configuration
-	 * of thousands of routes.
+	 * Maximum size of a configuration, which is part of a command. The call may be
+	 * larger, so that the refusal can state the reason.
 	 */
+	private static final int MAX_CONFIG_BYTES = Replicas.MAX_COMMAND_BYTES - 1024;
+
+	/** Limits of the HTTP server for control calls. */
 	private static final HttpLimits HTTP_LIMITS = new HttpLimits(16_384, 4 * 1024 * 1024, 3000 * MILLISECOND,
 			15_000 * MILLISECOND);
 
@@ -576,6 +580,11 @@
 			reply.accept(acceptedConfig(this.entries.readableByNone(System.nanoTime())));
 			return;
 		}
+		if (change.document().length > MAX_CONFIG_BYTES) {
+			reply.accept(ControlAnswer.of(Kind.INVALID, "the configuration must not exceed " + MAX_CONFIG_BYTES
+					+ " bytes (was " + change.document().length + ")"));
+			return;
+		}
 		try {
 			List<String> findings = ConfigValidator.check(this.dialect.config(change.document()));
 			if (!findings.isEmpty()) {
