Follow the log when a listener fails, and stop when an entry can't be applied

What callers could see: an exception in what follows a committed command (the controller's update, the log line, a reply) left out the reply to its proposer and all further entries of the batch, so the replica's state differed from that of the others. The same for an exception while the command was applied.

Change: what follows a command is run by itself; a failure is counted and logged, the state and the reply don't depend on it. A replica that can't apply an entry stops, as it does if it can't decode it. The leader decodes a command before it proposes it, so that no entry is committed that none can decode.

Evidence: ControlNodeTests.shouldCompactAStateThatExceedsTheSizeOfACommand fails without the new limit. The isolation of listeners has no test of its own.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -73,6 +73,12 @@
 	 */
 	private static final long SNAPSHOT_INTERVAL_ENTRIES = 200;
 
+	/**
+	 * Maximum size of a snapshot. It holds a configuration of the maximum size of a
+	 * command besides all targets, keys and digests.
+	 */
+	private static final int MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024;
+
 	private final EventLoop loop;
 
 	private final EventWriter events;
@@ -89,7 +95,7 @@
 
 	private final RecordCodec<FleetCommand> commandCodec = RecordCodec.of(FleetCommand.class);
 
-	private final RecordCodec<FleetSnapshot> snapshotCodec = RecordCodec.of(FleetSnapshot.class);
+	private final RecordCodec<FleetSnapshot> snapshotCodec = RecordCodec.of(FleetSnapshot.class, MAX_SNAPSHOT_BYTES);
 
 	// Effects that aren't executed yet, in the order of their events. While a disk write
 	// runs, it persists the entries that the first of them depends on.
@@ -219,10 +225,13 @@
 		}
 		try {
 			byte[] encoded = this.commandCodec.encode(command);
+			// A committed entry that can't be decoded stops every replica.
+			this.commandCodec.decode(encoded);
 			handle(new ReplicaEvent.Propose(this.proposals.add(result), System.currentTimeMillis(), encoded));
 		}
 		catch (CodecException ex) {
-			this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", "encode command", "reason", ex.getMessage());
+			this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", "encode command", "command",
+					command.getClass().getSimpleName(), "reason", ex.getMessage());
 			result.accept(Optional.empty());
 		}
 	}
@@ -338,7 +347,7 @@
 		effects.snapshotToInstall().ifPresent(this::installSnapshot);
 		effects.results()
 			.forEach((result) -> this.proposals.resolved(result)
-				.ifPresent((handler) -> handler.accept(Optional.empty())));
+				.ifPresent((handler) -> notify("reply to a proposal", () -> handler.accept(Optional.empty()))));
 		effects.committed().forEach(this::apply);
 		compactIfDue();
 	}
@@ -357,7 +366,7 @@
 					"applied", this.appliedIndex, "writing", this.writing, "queued-effects",
 					this.pendingEffects.size());
 		}
-		abandoned.forEach((result) -> result.accept(Optional.empty()));
+		abandoned.forEach((result) -> notify("reply to a proposal", () -> result.accept(Optional.empty())));
 	}
 
 	private void apply(LogEntry entry) {
@@ -372,15 +381,36 @@
 		if (entry.kind() != LogEntry.Kind.COMMAND) {
 			return;
 		}
+		FleetCommand command;
+		FleetResult result;
 		try {
-			FleetCommand command = this.commandCodec.decode(entry.payload());
-			FleetResult result = this.state.apply(command);
-			this.appliedListener.accept(command, result);
-			this.proposals.committed(entry).ifPresent((handler) -> handler.accept(Optional.of(result)));
+			command = this.commandCodec.decode(entry.payload());
+			result = this.state.apply(command);
 		}
 		catch (CodecException ex) {
 			fail(NodeEvent.UNEXPECTED_FAILURE, "committed log entry " + entry.index() + " can't be decoded ("
 					+ ex.getMessage() + "); it may come from a newer version");
+			return;
+		}
+		catch (RuntimeException ex) {
+			// The state may be changed in part, so it differs from that of the others.
+			fail(NodeEvent.UNEXPECTED_FAILURE, "committed log entry " + entry.index() + " can't be applied (" + ex
+					+ "); it may come from another version");
+			return;
+		}
+		Optional<Consumer<Optional<FleetResult>>> proposer = this.proposals.committed(entry);
+		notify("follow a committed entry", () -> this.appliedListener.accept(command, result));
+		proposer.ifPresent((handler) -> notify("reply to a proposal", () -> handler.accept(Optional.of(result))));
+	}
+
+	// The state and the entries that follow don't depend on what is done with a result.
+	private void notify(String duty, Runnable action) {
+		try {
+			action.run();
+		}
+		catch (RuntimeException ex) {
+			this.events.metrics().count("failed_work", duty);
+			this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", duty, "entry", this.appliedIndex, "failure", ex);
 		}
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
+import org.redwingramp.core.consensus.Replicas;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -111,6 +113,41 @@
 		}
 	}
 
+	/**
+	 * Guards against a configuration that is never committed and never clearly refused,
+	 * since it fits into a call but not into a command.
+	 */
+	@Test
+	void shouldRefuseAConfigurationThatExceedsTheSizeOfACommand() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST)) {
+			assertThat(control.call("replace 0 1 " + "r".repeat(1_048_576))).startsWith("INVALID");
+			int room = Replicas.MAX_COMMAND_BYTES - 1024 - "replace 0 1 ".length();
+			assertThat(control.call("replace 0 1 " + "r".repeat(room))).startsWith("ACCEPTED");
+		}
+	}
+
+	/**
+	 * Guards against a log that is never compacted, since the snapshot of a large state
+	 * exceeds the size of a command.
+	 */
+	@Test
+	void shouldCompactAStateThatExceedsTheSizeOfACommand() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST)) {
+			String routes = "r".repeat(1_000_000);
+			assertThat(control.call("replace 0 1 " + routes)).startsWith("ACCEPTED");
+			for (int i = 0; i < 6; i++) {
+				assertThat(control.call("heartbeat " + i + "t".repeat(800_000))).startsWith("ACCEPTED");
+			}
+			for (int i = 1; i < 4; i++) {
+				assertThat(control.call("replace " + i + ' ' + (i + 1) + ' ' + routes)).startsWith("ACCEPTED");
+			}
+			assertThat(control.log.toString()).doesNotContain("skip the compaction");
+			control.stop(FIRST);
+			control.start(FIRST, false);
+			assertThat(control.call("read")).startsWith("DOCUMENT replace 3 4");
+		}
+	}
+
 	private long bytesOnDisk(String replica) throws IOException {
 		try (Stream<Path> files = Files.walk(this.folder.resolve(replica))) {
 			return files.filter(Files::isRegularFile).mapToLong((file) -> file.toFile().length()).sum();
