Count pipelined requests towards the memory limit of requests

Callers saw: nothing yet. Up to 256 KiB of further requests on each connection were kept while the first one was handled; 1000 such connections need more than the heap of an entry instance.

Cause: BodyMemoryLimit didn't count them.

Change: the bytes are reserved while they are kept; a connection whose bytes don't fit is closed, as one over 256 KiB is.

Evidence: RequestMemoryTests.shouldCloseConnectionsWhosePipelinedRequestsDoNotFit times out without the change and passes with it.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
@@ -159,6 +159,7 @@
 		this.tcp.close();
 		this.server.connectionClosed(this);
 		releaseBody();
+		releasePipelined();
 		if (this.current != null) {
 			this.current.abandon();
 			this.current = null;
@@ -166,7 +167,9 @@
 	}
 
 	private void bufferPipelined(ByteBuffer data) {
-		if (this.pipelined.size() + data.remaining() > MAX_PIPELINED_BYTES) {
+		int added = data.remaining();
+		if (this.pipelined.size() + added > MAX_PIPELINED_BYTES
+				|| !this.server.memory().reserve(this.pipelined.size(), added)) {
 			closeAndAbandon();
 			return;
 		}
@@ -224,11 +227,13 @@
 				|| Header.lists(exchange.request().headers(), "Connection", "close");
 		HttpSerializer.writeResponse(this.tcp, response, close, exchange.request().method().equals("HEAD"));
 		if (close) {
+			releasePipelined();
 			this.tcp.closeAfterWrite();
 			return;
 		}
 		this.parser.reset();
 		if (this.pipelined.size() > 0) {
+			this.server.memory().release(this.pipelined.size());
 			parse(ByteBuffer.wrap(this.pipelined.take()));
 		}
 	}
@@ -241,6 +246,7 @@
 		if (!this.rejected) {
 			this.rejected = true;
 			releaseBody();
+			releasePipelined();
 			HttpSerializer.writeResponse(this.tcp, response, true, false);
 			this.tcp.closeAfterWrite();
 		}
@@ -252,6 +258,11 @@
 		this.body.clear();
 	}
 
+	private void releasePipelined() {
+		this.server.memory().release(this.pipelined.size());
+		this.pipelined.clear();
+	}
+
 	// Reserves memory for further bytes of the body, or rejects the request.
 	private boolean reserve(long additional) {
 		boolean reserved = this.server.memory().reserve(this.reservedBytes, additional);
--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/RequestMemoryTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/RequestMemoryTests.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -31,6 +32,10 @@
 
 	private static final int MEBIBYTE = 1024 * 1024;
 
+	private static final int PIPELINING_CALLERS = 40;
+
+	private static final int PIPELINED_BYTES = 200 * 1024;
+
 	private static final HttpLimits LIMITS = new HttpLimits(16_384, 64 * MEBIBYTE, 3_000_000_000L, 15_000_000_000L);
 
 	private final BodyMemoryLimit memory = BodyMemoryLimit.forRequests(3 * MEBIBYTE);
@@ -43,6 +48,8 @@
 
 	private EventLoop loop;
 
+	private HttpServer server;
+
 	private InetSocketAddress address;
 
 	private volatile HttpHandler handler = this.exchanges::add;
@@ -53,9 +60,9 @@
 		ServerSocketChannel socket = this.loop.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
 		this.address = (InetSocketAddress) socket.getLocalAddress();
 		socket.close();
-		HttpServer server = HttpServer.start(this.loop, this.address, () -> LIMITS,
+		this.server = HttpServer.start(this.loop, this.address, () -> LIMITS,
 				(exchange) -> this.handler.handle(exchange), this.memory);
-		server.onBodyRefused((target, headers, bytes) -> this.refused.add(bytes));
+		this.server.onBodyRefused((target, headers, bytes) -> this.refused.add(bytes));
 		LoopThread.start(this.loop);
 	}
 
@@ -109,6 +116,33 @@
 		}
 	}
 
+	/**
+	 * Guards against many callers that each send further requests before the response to
+	 * their first one, which exhausts the memory.
+	 */
+	@Test
+	void shouldCloseConnectionsWhosePipelinedRequestsDoNotFit() throws Exception {
+		List<Socket> callers = new ArrayList<>();
+		for (int i = 0; i < PIPELINING_CALLERS; i++) {
+			Socket caller = connect();
+			callers.add(caller);
+			upload(caller, 10);
+			this.exchanges.take();
+			caller.getOutputStream().write(new byte[PIPELINED_BYTES]);
+		}
+		while (LoopThread.query(this.loop, this.server::connections) * PIPELINED_BYTES > 4 * MEBIBYTE) {
+			Thread.sleep(5);
+		}
+		try (Socket sound = connect()) {
+			upload(sound, 1000);
+			assertThat(this.exchanges.take().request().body()).hasSize(1000);
+		}
+		for (Socket caller : callers) {
+			caller.close();
+		}
+		awaitReleased();
+	}
+
 	/** Guards against an event loop that ends in silence when memory runs out. */
 	@Test
 	void shouldContinueAfterMemoryRanOutForOneRequest() throws Exception {
