Show that a request which fails when it is resumed doesn't hold up others

Waiting requests are resumed after a view. One that threw kept those after it from being resumed, so they were refused with KEY_MOVING although their key had an owner, until the next view. A request that can't be passed on isn't counted as sent any more, since nothing ever ended it and the target would have looked more loaded from then on.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -439,13 +439,13 @@
 	}
 
 	private void send(EntryTarget candidate, long now) {
+		long remaining = Math.max(1, (long) remainingMillis(now));
+		HttpRequest request = this.node.dialect().targetRequest(this.exchange.request(), candidate.name(), remaining);
+		candidate.tracker().sent();
 		this.target = candidate;
 		this.sentNanos = now;
 		this.attempts++;
 		this.sends++;
-		candidate.tracker().sent();
-		long remaining = Math.max(1, (long) remainingMillis(now));
-		HttpRequest request = this.node.dialect().targetRequest(this.exchange.request(), candidate.name(), remaining);
 		long timeoutNanos = this.deadlineNanos - now;
 		this.call = this.mayHaveRun ? candidate.connections().sendOnNewConnection(request, timeoutNanos, new Attempt())
 				: candidate.connections().send(request, timeoutNanos, this.formerCalls, new Attempt());
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
@@ -39,6 +39,9 @@
 	/** A configuration that this dialect can't read. */
 	static final byte[] UNREADABLE_DOCUMENT = { 0 };
 
+	/** The identifier of a request that this dialect can't pass on. */
+	static final String UNUSABLE_ID = "unusable";
+
 	static final long TIMEOUT_MILLIS = 600;
 
 	static final long LONG_TIMEOUT_MILLIS = 10_000;
@@ -60,6 +63,9 @@
 
 	@Override
 	public HttpRequest targetRequest(HttpRequest request, String target, long deadlineMillis) {
+		if (Header.find(request.headers(), "Id").filter(UNUSABLE_ID::equals).isPresent()) {
+			throw new IllegalStateException("a request with the identifier " + UNUSABLE_ID + " can't be passed on");
+		}
 		List<Header> headers = new ArrayList<>();
 		headers.add(new Header("Id", Header.find(request.headers(), "Id").orElse("")));
 		headers.add(new Header("Target", target));
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/UnusableViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/UnusableViewTests.java
@@ -1,9 +1,12 @@
 package org.redwingramp.node.entry;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -29,6 +32,8 @@
 	/** Time within which the platform requires an acknowledged change to be in force. */
 	private static final long MAX_APPLY_DELAY_MILLIS = 2000;
 
+	private static final long REQUEST_ARRIVAL_MILLIS = 50;
+
 	private static final ViewRange REVERSED_RANGE = new ViewRange(300, 200, "t-0");
 
 	private EntryFixture entry;
@@ -173,6 +178,41 @@
 		}
 	}
 
+	/**
+	 * Guards against a request that fails when it is resumed after a view, and keeps the
+	 * others that wait for an owner from being resumed.
+	 */
+	@Test
+	void shouldResumeTheOtherRequestsAfterOneThatFails() throws Exception {
+		try (ScriptedTarget target = new ScriptedTarget(OK)) {
+			List<ViewTarget> targets = List.of(target("t-0", target.address(), true));
+			this.entry.send(view(1, 0, 1, new byte[] { 1 }, targets, new ViewRange(0, 65_535, "")));
+			this.entry.awaitApplied(1, 1);
+			CompletableFuture<String> failing = CompletableFuture.supplyAsync(() -> call(TestDialect.UNUSABLE_ID));
+			awaitLogged(TestDialect.UNUSABLE_ID);
+			CompletableFuture<String> waiting = CompletableFuture.supplyAsync(() -> call("1"));
+			Thread.sleep(REQUEST_ARRIVAL_MILLIS);
+			this.entry.send(view(2, 1, 2, new byte[] { 2 }, targets, new ViewRange(0, 65_535, "t-0")));
+			assertThat(waiting.get()).startsWith("HTTP/1.1 200");
+			assertThat(failing.get()).startsWith("HTTP/1.1 503");
+		}
+	}
+
+	private String call(String id) {
+		try {
+			return this.entry.call("/lookup/a", id);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private void awaitLogged(String text) throws InterruptedException {
+		while (!this.entry.log.toString(StandardCharsets.UTF_8).contains(text)) {
+			Thread.sleep(5);
+		}
+	}
+
 	private static FleetView view(long sequence, long base, long config, byte[] document, List<ViewTarget> targets,
 			ViewRange range) {
 		return new FleetView(1, sequence, base, config, 1, Optional.of(document), targets, List.of(),
