--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -86,7 +86,6 @@
 	// The incarnations that the entry instance reported as leaving.
 	final BlockingQueue<Owner> leaving = new LinkedBlockingQueue<>();
 
-
 	private long sequence;
 
 	private final EntryNode node;
