--- a/redwingramp-core/src/main/java/org/redwingramp/core/traffic/ConfigValidator.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/traffic/ConfigValidator.java
@@ -21,6 +21,12 @@
 	 */
 	public static final long MAX_LATENCY_ABOVE_TIMEOUT_MILLIS = 60_000;
 
+	/** Maximum sum of the weights of a route, up to which shares are exact. */
+	private static final double MAX_WEIGHTS = 1e12;
+
+	/** Maximum length of other periods, in milliseconds. */
+	private static final long MAX_DURATION_MILLIS = 30L * 24 * 3600 * 1000;
+
 	private ConfigValidator() {
 	}
 
@@ -38,9 +44,40 @@
 		}
 		Set<String> hostsAndPrefixes = new HashSet<>();
 		config.routes().forEach((route) -> check(route, services, hostsAndPrefixes, findings));
+		config.services().forEach((service) -> check(service, findings));
+		check(config.limits(), findings);
 		return findings;
 	}
 
+	private static void check(ServiceSpec service, List<String> findings) {
+		String location = "service " + service.name() + ": ";
+		if (!isDuration(service.coldMillis()) || !isDuration(service.warmupMillis())) {
+			findings.add(location + "the cold and warm-up periods must be between 0 and " + MAX_DURATION_MILLIS
+					+ " ms (were " + service.coldMillis() + " and " + service.warmupMillis() + " ms)");
+		}
+		if (service.coldPerSecond() < 0) {
+			findings
+				.add(location + "the rate of a cold target must not be negative (was " + service.coldPerSecond() + ")");
+		}
+	}
+
+	// Limits under which no request would be accepted are invalid.
+	private static void check(CallerLimits limits, List<String> findings) {
+		if (limits.maxHeaderBytes() <= 0 || limits.maxBodyBytes() < 0) {
+			findings.add("limits: the maximum size of a head must be positive and that of a body not negative (were "
+					+ limits.maxHeaderBytes() + " and " + limits.maxBodyBytes() + " bytes)");
+		}
+		if (limits.headerTimeoutMillis() == 0 || !isDuration(limits.headerTimeoutMillis())
+				|| limits.idleTimeoutMillis() == 0 || !isDuration(limits.idleTimeoutMillis())) {
+			findings.add("limits: the timeouts must be between 1 and " + MAX_DURATION_MILLIS + " ms (were "
+					+ limits.headerTimeoutMillis() + " and " + limits.idleTimeoutMillis() + " ms)");
+		}
+	}
+
+	private static boolean isDuration(long millis) {
+		return millis >= 0 && millis <= MAX_DURATION_MILLIS;
+	}
+
 	private static void check(Route route, Set<String> services, Set<String> hostsAndPrefixes, List<String> findings) {
 		String location = "route " + route.name() + ": ";
 		if (!hostsAndPrefixes.add(route.host() + " " + route.pathPrefix())) {
@@ -58,8 +95,10 @@
 					+ " ms above the timeout of " + route.timeoutMillis() + " ms (was " + route.targetLatencyMillis()
 					+ " ms)");
 		}
-		if (route.services().isEmpty() || route.services().stream().mapToDouble(WeightedService::weight).sum() <= 0) {
-			findings.add(location + "the sum of the weights of the services must be greater than 0");
+		double weights = route.services().stream().mapToDouble(WeightedService::weight).sum();
+		if (weights <= 0 || weights > MAX_WEIGHTS) {
+			findings.add(location + "the sum of the weights of the services must be greater than 0 and at most "
+					+ MAX_WEIGHTS + " (was " + weights + ")");
 		}
 		route.services()
 			.stream()
