Test that a committed change is acknowledged although what follows it fails

Also gives the targets of shouldCompactAStateThatExceedsTheSizeOfACommand addresses of their own: with one address, each was forgotten when the next one joined, so the state never reached the size of a command and the test passed without the larger limit.

--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlNodeTests.java
@@ -113,6 +113,19 @@
 		}
 	}
 
+	/**
+	 * Guards against a change that is committed and never acknowledged, since something
+	 * that follows it fails.
+	 */
+	@Test
+	void shouldAcknowledgeACommittedChangeIfWhatFollowsItFails() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, FIRST)) {
+			assertThat(control.call("replace 0 1 one")).startsWith("ACCEPTED");
+			assertThat(control.callOnce(FIRST, "replace 1 2 fails-once-committed")).startsWith("ACCEPTED");
+			assertThat(control.callOnce(FIRST, "replace 2 3 three")).startsWith("ACCEPTED");
+		}
+	}
+
 	/**
 	 * Guards against a configuration that is never committed and never clearly refused,
 	 * since it fits into a call but not into a command.
@@ -136,7 +149,7 @@
 			String routes = "r".repeat(1_000_000);
 			assertThat(control.call("replace 0 1 " + routes)).startsWith("ACCEPTED");
 			for (int i = 0; i < 6; i++) {
-				assertThat(control.call("heartbeat " + i + "t".repeat(800_000))).startsWith("ACCEPTED");
+				assertThat(control.call("heartbeat " + i + "t".repeat(800_000) + ' ' + (i + 1))).startsWith("ACCEPTED");
 			}
 			for (int i = 1; i < 4; i++) {
 				assertThat(control.call("replace " + i + ' ' + (i + 1) + ' ' + routes)).startsWith("ACCEPTED");
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
@@ -2,10 +2,12 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.redwingramp.core.fleet.FleetTarget;
 import org.redwingramp.core.fleet.TargetHeartbeat;
@@ -31,12 +33,14 @@
  * A platform dialect for tests in which a call to a control replica is a line of text:
  * {@code replace BASE VERSION TEXT}, {@code read}, {@code out DOMAIN} or
  * {@code heartbeat NAME [PORT]}. A configuration whose text ends in {@code broken} is
- * invalid.
+ * invalid; one that ends in {@code fails-once-committed} can be read only once.
  */
 final class TextDialect implements PlatformDialect {
 
 	private static final ServiceSpec SERVICE = new ServiceSpec("s", "/", 1, false, 0, 0, 0, GrantMode.CALL);
 
+	private final Map<String, Boolean> failingTexts = new ConcurrentHashMap<>();
+
 	@Override
 	public void warmUp() {
 	}
@@ -110,6 +114,9 @@
 		if (text.endsWith("broken")) {
 			throw new InvalidDocumentException("the configuration's text ends in \"broken\"");
 		}
+		if (text.endsWith("fails-once-committed") && this.failingTexts.putIfAbsent(text, true) != null) {
+			throw new IllegalStateException("the configuration is read for the second time");
+		}
 		return new TrafficConfig(1, List.of(), List.of(SERVICE), CallerLimits.DEFAULT);
 	}
 
