Name the failure domains that tests take out in the settings of the fixture

StalledDiskTests takes a, b and c out, which are refused as unknown since the fixture's settings named d only. The test itself is unchanged.

--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
@@ -76,8 +76,8 @@
 		EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
 		EventWriter events = new EventWriter(this.log, name);
 		ControlSettings settings = new ControlSettings(name, name, new InetSocketAddress(name, this.port),
-				this.peerPort, this.seeds, Set.of("d"), mayFormGroup, this.toleratedLosses, this.folder.resolve(name),
-				System.nanoTime());
+				this.peerPort, this.seeds, Set.of("a", "b", "c", "d"), mayFormGroup, this.toleratedLosses,
+				this.folder.resolve(name), System.nanoTime());
 		CompletableFuture<Void> ended = new CompletableFuture<>();
 		StallingDisk disk = new StallingDisk(name);
 		this.disks.put(name, disk);
