Refuse bodies at the readiness address

Callers saw: nothing yet.

Change: it answers 413 to a request with a body.

Evidence: EntryNodeTests.shouldRefuseABodyAtTheReadinessAddress times out without the change and passes with it.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -190,7 +190,7 @@
 		node.callerServer = HttpServer.start(loop, settings.listen(), node::limits, node::handle, node.requestMemory);
 		node.callerServer.onBodyRefused(node::bodyRefused);
 		node.callerServer.closeConnectionsWhile(node::yieldsToOthers);
-		HttpServer.start(loop, settings.readiness(), node::limits, node::readiness);
+		HttpServer.start(loop, settings.readiness(), node::readinessLimits, node::readiness);
 		node.control.start();
 		node.addGauges(events.metrics());
 		loop.repeat(STALE_CHECK_INTERVAL_NANOS, node::closeStaleConnections);
@@ -294,6 +294,12 @@
 				limits.headerTimeoutMillis() * MILLISECOND, limits.idleTimeoutMillis() * MILLISECOND);
 	}
 
+	// Readiness probes have no body.
+	private HttpLimits readinessLimits() {
+		HttpLimits limits = limits();
+		return new HttpLimits(limits.maxHeaderBytes(), 0, limits.headerTimeoutNanos(), limits.idleTimeoutNanos());
+	}
+
 	private void readiness(HttpExchange exchange) {
 		boolean ready = !this.stopping && this.view.config().isPresent() && lagReason(System.nanoTime()).isEmpty();
 		exchange.respond(
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -66,7 +66,7 @@
 
 	private final int callerPort;
 
-	private final int readyPort;
+	final int readinessPort;
 
 	// Whether any entry instance follows the simulated leader, as it says.
 	volatile Optional<Boolean> followed = Optional.empty();
@@ -98,11 +98,11 @@
 		this.loop = new EventLoop((failure) -> failure.printStackTrace());
 		this.events = new EventWriter(this.log, "test");
 		this.callerPort = freePort();
-		this.readyPort = freePort();
+		this.readinessPort = freePort();
 		int peerPort = freePort();
 		this.loop.listen(local(peerPort),
 				(tcp) -> Link.accepted(tcp, this::received, (link) -> this.entryLink.compareAndSet(link, null)));
-		EntrySettings settings = new EntrySettings("test", "d", local(this.callerPort), local(this.readyPort), peerPort,
+		EntrySettings settings = new EntrySettings("test", "d", local(this.callerPort), local(this.readinessPort), peerPort,
 				List.of("127.0.0.1"), 0.2, 50, graceNanos, DRAIN_NANOS);
 		this.node = EntryNode.start(this.loop, settings, new TestDialect(), this.events);
 		LoopThread.start(this.loop);
@@ -192,7 +192,7 @@
 
 	// Returns the status line and headers of the response to a question for readiness.
 	String readiness() throws IOException {
-		return head(this.readyPort, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+		return head(this.readinessPort, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
 	}
 
 	// Sends a request on a connection that is to be kept, and returns the status line and
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
@@ -1,6 +1,7 @@
 package org.redwingramp.node.entry;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -71,6 +72,22 @@
 		}
 	}
 
+	/**
+	 * Guards against bodies sent to the readiness address, which took memory beside that
+	 * of callers' requests.
+	 */
+	@Test
+	void shouldRefuseABodyAtTheReadinessAddress() throws Exception {
+		try (Socket socket = new Socket("127.0.0.1", this.entry.readinessPort)) {
+			socket.setSoTimeout(2000);
+			socket.getOutputStream()
+				.write("POST /ready HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"
+					.getBytes(StandardCharsets.US_ASCII));
+			assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+				.startsWith("HTTP/1.1 413");
+		}
+	}
+
 	/**
 	 * Guards against a stale grant: a leader that was suspended in the middle of a round
 	 * of grants resumes, and an entry instance relays its grant to the target although
