Accept a complete response that many surplus bytes follow

Callers saw: 502 instead of a target's complete response, if the target sent 64 KiB or more after it and they arrived with its end.

Cause: ClientConnection counted all bytes received towards the limit for heads and framing before they were parsed, also those after the response.

Change: it counts the bytes that the parser takes. The connection is closed and not reused, as before.

Evidence: EndlessResponseTests.shouldNotCountSurplusBytesAsPartOfTheResponse fails without the change (MALFORMED) and passes with it. The other new tests of the class show cases that were handled already: lengths that overflow and endless bytes after a response.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
@@ -161,9 +161,10 @@
 			close();
 			return;
 		}
-		this.framingBytes += data.remaining();
 		while (data.hasRemaining() && !this.closed && this.listener != null) {
+			int unparsed = data.remaining();
 			this.parser.parseNext(data);
+			this.framingBytes += unparsed - data.remaining();
 			if (this.malformed || exceedsFramingLimit()) {
 				fail(Cause.MALFORMED);
 			}
