Replace a removed control replica before the next disk may be lost

What callers would see: no service at all, for good, if a disk was lost just when the successor of a removed replica counted as caught up.

Cause: a member of an open group was replaced after 5 s without contact; a successor that comes 1 s after the removal has to stand in 4 s later.

Change: replaced after 3.5 s. A restart within 3 s still causes none.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/consensus/ConsensusTiming.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/consensus/ConsensusTiming.java
@@ -21,11 +21,13 @@
 	/**
 	 * Returns how long a member of an open group has to be unresponsive before an
 	 * instance of another name may replace it. Longer than a process takes to restart, so
-	 * that a restart doesn't cause a replacement.
+	 * that a restart doesn't cause a replacement. Shorter than the time after which a
+	 * successor of a removed instance has to stand in for it, by the time that an
+	 * election and the promotion of the successor take.
 	 * @return the time in nanoseconds
 	 */
 	public long replaceAfterNanos() {
-		return 5000 * NANOS_PER_MILLISECOND;
+		return 3500 * NANOS_PER_MILLISECOND;
 	}
 
 	/**
--- a/redwingramp-core/src/test/java/org/redwingramp/core/consensus/OpenGroupTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/consensus/OpenGroupTests.java
@@ -32,6 +32,24 @@
 		}
 	}
 
+	/**
+	 * Guards against a group that is still without its successor of a removed member when
+	 * the platform may take the next disk: 4 s after the successor's start.
+	 */
+	@Test
+	void shouldReplaceRemovedMemberWithinTheCatchUpTimeOfItsSuccessor() {
+		for (long seed = 0; seed < 30; seed++) {
+			TestGroup group = TestGroup.open(seed, "a", "b", "c");
+			group.crash(group.node(List.of("a", "b", "c").get((int) (seed % 3))));
+			group.run(1000);
+			TestNode successor = group.join("d", NO_FOUNDERS);
+			group.run(4000);
+			assertThat(group.leader().replica.membership().orElseThrow().voters()).as("seed " + seed)
+				.contains(successor.id());
+			assertThat(group.leader().replica.commitIndex()).isEqualTo(successor.replica.commitIndex());
+		}
+	}
+
 	@Test
 	void shouldKeepMemberThatRestartsWithinReplacementDelay() {
 		TestGroup group = TestGroup.open(1, "a", "b", "c");
--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/LostDisksTests.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/LostDisksTests.java
@@ -27,6 +27,9 @@
 	/** Time in which the service must be back after a loss. */
 	private static final long RECOVERY_MILLIS = 15_000;
 
+	/** Time after which a removed replica has a successor with a new name. */
+	private static final long SUCCESSOR_DELAY_MILLIS = 1000;
+
 	/** Time after which further disks may be lost. */
 	private static final long CATCH_UP_MILLIS = 4000;
 
@@ -35,7 +38,7 @@
 	@Test
 	void shouldKeepAcknowledgedCommandsWhenOneOfThreeReplicasLosesItsDisk() throws Exception {
 		for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-			playReporting(seed, 3, 1);
+			playReporting(seed, 3, (group) -> playLosses(group, 1));
 		}
 	}
 
@@ -43,28 +46,50 @@
 	@Test
 	void shouldKeepAcknowledgedCommandsWhenTwoOfFiveReplicasLoseTheirDisks() throws Exception {
 		for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-			playReporting(seed, 5, 2);
+			playReporting(seed, 5, (group) -> playLosses(group, 2));
+		}
+	}
+
+	// Guards against a group that hasn't replaced a removed replica when the next disk
+	// may
+	// be lost, so that the remaining voters are no majority.
+	@Test
+	void shouldKeepAcknowledgedCommandsWhenADiskIsLostAfterAReplacement() throws Exception {
+		for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+			playReporting(seed, 3, this::playReplacements);
 		}
 	}
 
-	private void playReporting(long seed, int voters, int lostDisks) throws StorageException {
+	private void playReporting(long seed, int voters, Play play) throws StorageException {
 		try {
-			play(seed, voters, lostDisks);
+			SimulatedGroup group = new SimulatedGroup(seed, voters);
+			group.runUntil("formation", RECOVERY_MILLIS, group::complete);
+			play.run(group);
 		}
 		catch (AssertionError | RuntimeException ex) {
 			throw new AssertionError("seed " + seed + " with " + voters + " voters: " + ex.getMessage(), ex);
 		}
 	}
 
-	private void play(long seed, int voters, int lostDisks) throws StorageException {
-		SimulatedGroup group = new SimulatedGroup(seed, voters);
-		group.runUntil("formation", RECOVERY_MILLIS, group::complete);
+	private void playLosses(SimulatedGroup group, int lostDisks) throws StorageException {
 		for (int round = 0; round < 3; round++) {
 			work(group, lostDisks);
 			loseDisks(group, lostDisks);
 		}
 	}
 
+	private void playReplacements(SimulatedGroup group) throws StorageException {
+		for (int round = 0; round < 2; round++) {
+			group.propose();
+			group.run(group.random().nextInt(500));
+			group.remove(someNames(group, 1).get(0));
+			group.run(SUCCESSOR_DELAY_MILLIS);
+			group.addSpare("spare-" + round);
+			group.run(CATCH_UP_MILLIS);
+			loseDisks(group, 1);
+		}
+	}
+
 	// Proposes commands while some replicas fall behind or have slow disks, at most as
 	// many
 	// as disks may be lost. Some are still behind when the others lose their disks.
@@ -163,4 +188,11 @@
 		return names.subList(0, most);
 	}
 
+	/** What happens to a group. */
+	private interface Play {
+
+		void run(SimulatedGroup group) throws StorageException;
+
+	}
+
 }
--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/SimulatedGroup.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/SimulatedGroup.java
@@ -51,7 +51,7 @@
 
 	private final Random random;
 
-	private final List<String> names;
+	private final List<String> names = new ArrayList<>();
 
 	private final int voters;
 
@@ -64,12 +64,28 @@
 	SimulatedGroup(long seed, int voters) throws StorageException {
 		this.random = new Random(seed);
 		this.voters = voters;
-		this.names = List.of("a", "b", "c", "d", "e").subList(0, voters);
-		for (String name : this.names) {
-			start(name, new MemoryFiles(), this.names);
+		List<String> founders = List.of("a", "b", "c", "d", "e").subList(0, voters);
+		for (String name : founders) {
+			add(name, founders);
 		}
 	}
 
+	// Adds an empty replica under a new name, which may join the group.
+	void addSpare(String name) throws StorageException {
+		add(name, List.of());
+	}
+
+	private void add(String name, List<String> founders) throws StorageException {
+		this.names.add(name);
+		start(name, new MemoryFiles(), founders);
+	}
+
+	// Removes a replica together with its disk, for good.
+	void remove(String name) {
+		this.names.remove(name);
+		this.replicas.remove(name);
+	}
+
 	Random random() {
 		return this.random;
 	}
@@ -91,7 +107,7 @@
 	}
 
 	List<String> names() {
-		return this.names;
+		return List.copyOf(this.names);
 	}
 
 	void propose() throws StorageException {
@@ -162,19 +178,24 @@
 		}
 	}
 
-	// Returns whether all replicas are voters and hold everything that is committed.
+	// Returns whether all voters run and hold everything that is committed.
 	boolean complete() {
 		return leader()
 			.filter((leader) -> leader.replica()
 				.membership()
 				.filter((group) -> group.voters().size() == this.voters && group.learners().isEmpty())
+				.filter((group) -> group.voters().stream().allMatch((voter) -> holdsAll(voter, leader)))
 				.isPresent())
-			.filter((leader) -> this.replicas.values()
-				.stream()
-				.allMatch((replica) -> replica.replica().commitIndex() == leader.replica().commitIndex()))
 			.isPresent();
 	}
 
+	private boolean holdsAll(ReplicaId voter, SimulatedReplica leader) {
+		SimulatedReplica replica = this.replicas.get(voter.name());
+		return replica != null && replica.id().equals(voter)
+				&& replica.replica().membership().equals(leader.replica().membership())
+				&& replica.replica().commitIndex() == leader.replica().commitIndex();
+	}
+
 	private void start(String name, MemoryFiles disk, List<String> founders) throws StorageException {
 		this.replicas.put(name,
 				SimulatedReplica.start(name, disk, founders, this.voters, new Random(this.random.nextLong())));
