--- a/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/SimulatedReplica.java
+++ b/redwingramp-storage/src/test/java/org/redwingramp/storage/internal/SimulatedReplica.java
@@ -36,6 +36,9 @@
 
 	private static final int COMPACT_AFTER_ENTRIES = 12;
 
+	/** A batch with a snapshot takes about as many changes of the disk. */
+	private static final int MOST_CHANGES_PER_BATCH = 40;
+
 	private final Random random;
 
 	private final MemoryFiles disk;
@@ -150,7 +153,7 @@
 		Optional<PersistBatch> running = Optional.ofNullable(this.pendingEffects.peek())
 			.flatMap(ReplicaEffects::persist);
 		if (running.isPresent()) {
-			this.disk.failFrom(this.disk.changes() + 1 + this.random.nextInt(20));
+			this.disk.failFrom(this.disk.changes() + 1 + this.random.nextInt(MOST_CHANGES_PER_BATCH));
 			try {
 				this.store.persist(running.get());
 			}
