--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -102,8 +102,8 @@
 		int peerPort = freePort();
 		this.loop.listen(local(peerPort),
 				(tcp) -> Link.accepted(tcp, this::received, (link) -> this.entryLink.compareAndSet(link, null)));
-		EntrySettings settings = new EntrySettings("test", "d", local(this.callerPort), local(this.readinessPort), peerPort,
-				List.of("127.0.0.1"), 0.2, 50, graceNanos, DRAIN_NANOS);
+		EntrySettings settings = new EntrySettings("test", "d", local(this.callerPort), local(this.readinessPort),
+				peerPort, List.of("127.0.0.1"), 0.2, 50, graceNanos, DRAIN_NANOS);
 		this.node = EntryNode.start(this.loop, settings, new TestDialect(), this.events);
 		LoopThread.start(this.loop);
 		while (this.entryLink.get() == null) {
