Answer a request that runs out of memory, and stop after it

Callers saw: a request whose handling ended with an OutOfMemoryError or a StackOverflowError got no answer. At the next planned stop all other requests were cut without one, and the process didn't stop by itself.

Cause: the steps of an execution were guarded against a RuntimeException only, while the event loop goes on after these errors. The execution stayed without a route, and stop() called all executions before it planned its own end.

Change: these errors end the request with an answer; the end is planned first, and each execution is ended by itself.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -224,10 +224,10 @@
 		this.latestStopNanos = now + (long) (this.settings.graceNanos() * WRITE_GRACE_FRACTION);
 		long lateDeadlines = Math.min(MIN_DRAIN_NANOS, (long) ((this.breakOffNanos - now) * LATE_DEADLINE_FRACTION));
 		this.noLateDeadlinesNanos = now + lateDeadlines;
-		refuseUnfinishable();
 		this.loop.schedule(lateDeadlines, this::refuseUnfinishable);
 		this.loop.schedule(this.breakOffNanos - now, this::breakOff);
 		awaitDrained();
+		refuseUnfinishable();
 	}
 
 	private void warmUp() {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -188,18 +188,21 @@
 
 	// Refuses a request that waits to be sent if the planned stop might break it off.
 	void refuseIfProcessStopsBefore() {
-		if (!this.finished && this.call == null && processStopsBefore(System.nanoTime())) {
-			refuseOrFail(Refusal.STOPPING, RETRY_ELSEWHERE_MILLIS);
-		}
+		guarded(() -> {
+			if (!this.finished && this.call == null && processStopsBefore(System.nanoTime())) {
+				refuseOrFail(Refusal.STOPPING, RETRY_ELSEWHERE_MILLIS);
+			}
+		});
 	}
 
 	// Ends a request since the process is about to stop.
 	void breakOff() {
-		if (this.finished) {
-			return;
-		}
-		cancelCall();
-		refuseOrFail(Refusal.STOPPING, RETRY_ELSEWHERE_MILLIS);
+		guarded(() -> {
+			if (!this.finished) {
+				cancelCall();
+				refuseOrFail(Refusal.STOPPING, RETRY_ELSEWHERE_MILLIS);
+			}
+		});
 	}
 
 	private boolean processStopsBefore(long now) {
@@ -211,15 +214,15 @@
 		try {
 			step.run();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | OutOfMemoryError | StackOverflowError ex) {
+			if (this.finished) {
+				throw ex;
+			}
 			failUnexpectedly(ex);
 		}
 	}
 
-	private void failUnexpectedly(RuntimeException cause) {
-		if (this.finished) {
-			throw cause;
-		}
+	private void failUnexpectedly(Throwable cause) {
 		StackTraceElement[] stack = cause.getStackTrace();
 		this.node.events()
 			.log(NodeEvent.UNEXPECTED_FAILURE, "duty", "handle request", "request", requestId(), "failure", cause,
@@ -800,6 +803,9 @@
 				return matchIdentifier(response);
 			}
 			catch (RuntimeException ex) {
+				if (RequestExecution.this.finished) {
+					throw ex;
+				}
 				failUnexpectedly(ex);
 				return ResponseMatch.OTHER;
 			}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryStopTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryStopTests.java
@@ -88,6 +88,35 @@
 		}
 	}
 
+	// Guards against a stop that never ends, and cuts off all other requests, because of
+	// one earlier request for which there was not enough memory.
+	@Test
+	void shouldRefuseRequestsAndStopAfterOneThatRanOutOfMemory() throws Exception {
+		try (EntryFixture entry = new EntryFixture(2 * NANOS_PER_SECOND);
+				ScriptedTarget target = new ScriptedTarget()) {
+			entry.sendView("", target);
+			try (Socket exhausting = entry.open("/lookup-long/a", TestDialect.EXHAUSTING_ID);
+					Socket caller = entry.open("/lookup-long/a", "1")) {
+				entry.awaitLogged("request-waits");
+				entry.stop();
+				assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+					.startsWith("HTTP/1.1 503")
+					.contains("Connection: close");
+			}
+		}
+	}
+
+	// Guards against a caller that waits until its own timeout after a request for which
+	// there was not enough memory.
+	@Test
+	void shouldAnswerARequestThatRunsOutOfMemory() throws Exception {
+		try (EntryFixture entry = new EntryFixture(2 * NANOS_PER_SECOND);
+				ScriptedTarget target = new ScriptedTarget()) {
+			entry.sendView("t-0", target);
+			assertThat(entry.call("/lookup/a", TestDialect.EXHAUSTING_ID)).startsWith("HTTP/1.1 503");
+		}
+	}
+
 	// Guards against a connection that ends without an answer when a target doesn't
 	// answer before the stop. The request may have run, so the answer doesn't deny it.
 	@Test
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TestDialect.java
@@ -42,6 +42,9 @@
 	/** The identifier of a request that this dialect can't pass on. */
 	static final String UNUSABLE_ID = "unusable";
 
+	/** The identifier of a request for which this dialect runs out of memory. */
+	static final String EXHAUSTING_ID = "exhausting";
+
 	static final long TIMEOUT_MILLIS = 600;
 
 	static final long LONG_TIMEOUT_MILLIS = 10_000;
@@ -54,6 +57,9 @@
 
 	@Override
 	public RequestFields requestFields(HttpRequest request) {
+		if (Header.find(request.headers(), "Id").filter(EXHAUSTING_ID::equals).isPresent()) {
+			throw new OutOfMemoryError("no memory for a request with the identifier " + EXHAUSTING_ID);
+		}
 		return new RequestFields(Header.find(request.headers(), "Id"), OptionalLong.empty(),
 				Header.find(request.headers(), "Key")
 					.map((key) -> OptionalInt.of(Integer.parseInt(key)))
