Limit the failure of a view to the entry instances that it concerns

Callers would see (found by reading): routes that stay outdated. When the building of a view failed once, no entry instance learned of that change until the next one. When the view of one instance could not be encoded, for example since it exceeded the maximum message size, the instances after it got no view either, in each iteration of the event loop.

Cause: the counters of the built state were set before the state was built, and one failure left the loop over the sessions.

Change: the counters are set after the state is built, and each session is guarded by itself. A failure counts as failed_work, is logged once an element and leadership, and delays the next attempt for that session by 50 ms. The sessions are copied before the views are sent, since a link that closes while it sends removes its session.

Evidence: shouldBuildAViewAgainAfterAFailure and shouldSendViewsAlthoughOneInstanceIsToReceiveOneThatCannotBeEncoded fail without the change (the exception reaches the event loop) and pass with it.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySession.java
@@ -20,6 +20,12 @@
  */
 final class EntrySession {
 
+	/**
+	 * Delay after a view that couldn't be sent. The next attempt likely fails too, and
+	 * each one costs the leader time.
+	 */
+	private static final long VIEW_RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
 	private final Link link;
 
 	private final String name;
@@ -36,6 +42,8 @@
 
 	private long clockReportedNanos;
 
+	private Optional<Long> viewFailedNanos = Optional.empty();
+
 	// The numbers must be unique among all sessions on the link: a reply may arrive after
 	// the session in which its call was sent.
 	EntrySession(Link link, String name, long configVersion, EntryProgress progress, LongSupplier relayNumbers) {
@@ -62,6 +70,16 @@
 		return this.progress;
 	}
 
+	boolean readyForView(long newestConfig, long now) {
+		boolean delayed = this.viewFailedNanos.filter((failed) -> now - failed < VIEW_RETRY_DELAY_NANOS).isPresent();
+		return !delayed && this.flowControl.ready(newestConfig, now);
+	}
+
+	// Delays the next view, since this one couldn't be sent.
+	void viewFailed(long now) {
+		this.viewFailedNanos = Optional.of(now);
+	}
+
 	void noteProgress(long now) {
 		this.progress.acknowledged(
 				(this.flowControl.acknowledgedSequence() > 0)
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
@@ -53,6 +53,9 @@
 	/** Maximum number of entry instances that one log line names. */
 	private static final int MAX_LOGGED_NAMES = 5;
 
+	/** Maximum number of elements whose failed work is logged in a leadership. */
+	private static final int MAX_LOGGED_FAILURES = 100;
+
 	private final EventLoop loop;
 
 	private final EventWriter events;
@@ -67,6 +70,8 @@
 
 	private final Map<String, EntryProgress> progress = new HashMap<>();
 
+	private final Set<String> loggedFailures = new HashSet<>();
+
 	private long lastRelayNumber;
 
 	// The term of the leadership to which the sessions belong.
@@ -136,46 +141,79 @@
 	void startLeading(long leadershipTerm) {
 		this.term = leadershipTerm;
 		this.lastBuiltChangeCount = -1;
+		this.loggedFailures.clear();
 		this.links.forEach((link, hello) -> openSession(link, hello.entry(), hello.configVersion()));
 	}
 
 	// Sends the changes of the view to the entry instances whose flow control permits it.
-	// Views with the same base state are encoded once.
+	// Views with the same base state are encoded once. A failure is limited to the
+	// instances whose view it concerns, and they get it later.
 	void publishView(ViewSource source, long now) {
+		List<EntrySession> ready = this.sessions.values()
+			.stream()
+			.filter((session) -> session.readyForView(source.configVersion(), now))
+			.toList();
+		if (ready.isEmpty() || !refreshView(source, now)) {
+			ready.forEach((session) -> session.viewFailed(now));
+			return;
+		}
 		Map<ViewState, byte[]> encoded = new IdentityHashMap<>();
 		Map<ViewState, byte[]> encodedWithConfig = new IdentityHashMap<>();
-		for (EntrySession session : this.sessions.values()) {
-			ViewFlowControl flowControl = session.flowControl();
-			if (!flowControl.ready(source.configVersion(), now)) {
-				continue;
+		for (EntrySession session : ready) {
+			try {
+				sendView(session, source, encoded, encodedWithConfig, now);
 			}
-			refreshView(source, now);
-			boolean config = flowControl.lacksConfig(source.configVersion());
-			if (flowControl.lastSentState() != this.currentView || config) {
-				byte[] message = (config ? encodedWithConfig : encoded).computeIfAbsent(flowControl.lastSentState(),
-						(base) -> encode(source, base, config, now));
-				session.link().send(message);
-				flowControl.sent(this.currentView, message.length, now);
+			catch (RuntimeException ex) {
+				session.viewFailed(now);
+				workFailed("send view", session.name(), ex);
 			}
 		}
 	}
 
+	private void sendView(EntrySession session, ViewSource source, Map<ViewState, byte[]> encoded,
+			Map<ViewState, byte[]> encodedWithConfig, long now) {
+		ViewFlowControl flowControl = session.flowControl();
+		boolean config = flowControl.lacksConfig(source.configVersion());
+		if (flowControl.lastSentState() != this.currentView || config) {
+			byte[] message = (config ? encodedWithConfig : encoded).computeIfAbsent(flowControl.lastSentState(),
+					(base) -> encode(source, base, config, now));
+			session.link().send(message);
+			flowControl.sent(this.currentView, message.length, now);
+		}
+	}
+
+	private void workFailed(String duty, String element, RuntimeException failure) {
+		this.events.metrics().count("failed_work", duty);
+		if (this.loggedFailures.size() < MAX_LOGGED_FAILURES && this.loggedFailures.add(duty + ' ' + element)) {
+			this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", duty, "element", element, "failure", failure);
+		}
+	}
+
 	private byte[] encode(ViewSource source, ViewState base, boolean config, long now) {
 		Optional<byte[]> document = config ? Optional.of(source.document()) : Optional.empty();
 		return Link.encode(new LinkMessage.View(this.currentView.changesSince(base, this.term, document, now)));
 	}
 
-	private void refreshView(ViewSource source, long now) {
-		if (source.changeCount() == this.lastBuiltChangeCount
-				&& source.configVersion() == this.currentView.configVersion()
+	// Returns whether the current view includes all changes. After a failure the next
+	// call builds it again.
+	private boolean refreshView(ViewSource source, long now) {
+		long changeCount = source.changeCount();
+		if (changeCount == this.lastBuiltChangeCount && source.configVersion() == this.currentView.configVersion()
 				&& this.instances == this.lastBuiltInstances) {
-			return;
+			return true;
+		}
+		try {
+			ViewState next = source.state(this.currentView.sequence() + 1, this.instances, now);
+			if (next.differs(this.currentView)) {
+				this.currentView = next;
+			}
+			this.lastBuiltChangeCount = changeCount;
+			this.lastBuiltInstances = this.instances;
+			return true;
 		}
-		this.lastBuiltChangeCount = source.changeCount();
-		this.lastBuiltInstances = this.instances;
-		ViewState next = source.state(this.currentView.sequence() + 1, this.instances, now);
-		if (next.differs(this.currentView)) {
-			this.currentView = next;
+		catch (RuntimeException ex) {
+			workFailed("build view", "all", ex);
+			return false;
 		}
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/EntrySessionsTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/EntrySessionsTests.java
@@ -3,9 +3,11 @@
 import java.io.ByteArrayOutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -13,11 +15,14 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
+import org.redwingramp.core.fleet.FleetView.ViewTarget;
+import org.redwingramp.core.fleet.ViewState;
 import org.redwingramp.node.api.GrantCall;
 import org.redwingramp.node.api.GrantReply;
 import org.redwingramp.node.events.EventWriter;
 import org.redwingramp.node.link.Link;
 import org.redwingramp.node.loop.EventLoop;
+import org.redwingramp.wire.RecordCodec;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -35,6 +40,8 @@
 	/** Time within which the platform requires an acknowledged change to be in force. */
 	private static final long MAX_APPLY_DELAY_MILLIS = 2000;
 
+	private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+
 	@TempDir
 	private Path folder;
 
@@ -60,6 +67,56 @@
 		assertThat(replies).isEmpty();
 	}
 
+	/**
+	 * Guards against a change that no entry instance learns of until the next one,
+	 * because building its view failed once.
+	 */
+	@Test
+	void shouldBuildAViewAgainAfterAFailure() throws Exception {
+		EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
+		EntrySessions sessions = new EntrySessions(loop, new EventWriter(this.log, LEADER));
+		FakeViewSource source = new FakeViewSource();
+		EntrySession session = openSession(sessions, loop, "e", source.configVersion());
+		long now = System.nanoTime();
+		sessions.publishView(source, now);
+		assertThat(session.flowControl().lastSentState().sequence()).isEqualTo(1);
+		source.changes = 2;
+		source.domain = "b";
+		source.failing = true;
+		for (int i = 1; i <= 3; i++) {
+			sessions.publishView(source, now + TimeUnit.SECONDS.toNanos(i));
+		}
+		assertThat(session.flowControl().lastSentState().sequence()).isEqualTo(1);
+		source.failing = false;
+		sessions.publishView(source, now + TimeUnit.SECONDS.toNanos(4));
+		assertThat(session.flowControl().lastSentState().sequence()).isEqualTo(2);
+		assertThat(logLinesWith("\"duty\":\"build view\"")).isEqualTo(1);
+	}
+
+	/**
+	 * Guards against one entry instance whose view can't be encoded and that keeps the
+	 * others from receiving theirs.
+	 */
+	@Test
+	void shouldSendViewsAlthoughOneInstanceIsToReceiveOneThatCannotBeEncoded() throws Exception {
+		EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
+		EntrySessions sessions = new EntrySessions(loop, new EventWriter(this.log, LEADER));
+		FakeViewSource source = new FakeViewSource();
+		source.document = new byte[RecordCodec.DEFAULT_MAX_BYTES + 1];
+		EntrySession lackingConfig = openSession(sessions, loop, "lacking", 0);
+		List<EntrySession> others = new ArrayList<>();
+		for (int i = 0; i < 8; i++) {
+			others.add(openSession(sessions, loop, "e" + i, source.configVersion()));
+		}
+		long now = System.nanoTime();
+		for (int i = 0; i < 3; i++) {
+			sessions.publishView(source, now + TimeUnit.SECONDS.toNanos(i));
+		}
+		assertThat(others).allMatch((session) -> session.flowControl().lastSentState().sequence() == 1);
+		assertThat(lackingConfig.flowControl().lastSentState().sequence()).isZero();
+		assertThat(logLinesWith("\"duty\":\"send view\"")).isEqualTo(1);
+	}
+
 	/**
 	 * Guards against a new configuration that is queued on a slow link behind views which
 	 * later views supersede. Requests were then routed by configurations that had been
@@ -87,4 +144,55 @@
 		}
 	}
 
+	private static EntrySession openSession(EntrySessions sessions, EventLoop loop, String name, long configVersion) {
+		Link link = Link.open(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 9), (sender, message) -> {
+		}, (closed) -> {
+		});
+		sessions.openSession(link, name, configVersion);
+		return sessions.session(link).orElseThrow();
+	}
+
+	private long logLinesWith(String text) {
+		return this.log.toString(StandardCharsets.UTF_8).lines().filter((line) -> line.contains(text)).count();
+	}
+
+	/**
+	 * A fleet with one target. While it is failing, no state can be built.
+	 */
+	private static final class FakeViewSource implements EntrySessions.ViewSource {
+
+		private byte[] document = new byte[0];
+
+		private long changes = 1;
+
+		private String domain = "a";
+
+		private boolean failing;
+
+		@Override
+		public long configVersion() {
+			return 5;
+		}
+
+		@Override
+		public byte[] document() {
+			return this.document;
+		}
+
+		@Override
+		public long changeCount() {
+			return this.changes;
+		}
+
+		@Override
+		public ViewState state(long sequence, int instances, long now) {
+			if (this.failing) {
+				throw new IllegalStateException("the state can't be built");
+			}
+			ViewTarget target = new ViewTarget("t", "s", "127.0.0.1:1", this.domain, 1, true, 0, 1);
+			return ViewState.of(sequence, configVersion(), instances, List.of(target), Map.of(), List.of(), 0);
+		}
+
+	}
+
 }
