Send the grants that wait behind one that can't be written

Callers saw: a target of a sharded service lost all its keys when its leases ended and got none until the leader changed.

Cause: TargetCalls marked the queue of the target as busy before it wrote the grant, and the mark stayed if the writing failed. The next grant was also sent before the reply to the previous one was passed on, so its exception dropped that reply, and the lease waited for it without end.

Change: the reply is passed on first, then the next grant is sent. A call that can't be written gets a reply once: NOT_SENT if the platform's format failed, so that the lease isn't prolonged and its keys can go to another target; UNKNOWN if the sending failed. The exception goes to the event loop's failure handler. This holds for releases and for the second sending of a refused call too.

The UNKNOWN path has no test of its own.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -38,8 +38,9 @@
  * Invariants: a release is confirmed only by a handover token that no earlier response
  * contained, or by the only response of its connection; a refusal of a call is verified
  * on a new connection. A wrong confirmation of a grant merely prolongs the lease, and the
- * target refuses requests for keys that it doesn't hold. Not thread safe; confined to the
- * event loop's thread.
+ * target refuses requests for keys that it doesn't hold. A call that can't be written
+ * gets a reply too, and the exception is passed to the loop's failure handler. Not thread
+ * safe; confined to the event loop's thread.
  */
 public final class TargetCalls {
 
@@ -141,31 +142,86 @@
 			return;
 		}
 		target.grantInFlight = true;
-		Consumer<GrantReply> returned = (grantReply) -> {
+		exchange(target, grant, GRANT_TIMEOUT_NANOS, (grantReply) -> {
 			target.grantInFlight = false;
-			sendNextGrant(target);
-			grant.reply().accept(grantReply);
-		};
-		exchange(target, grant, GRANT_TIMEOUT_NANOS, returned);
+			try {
+				grant.reply().accept(grantReply);
+			}
+			finally {
+				sendNextGrant(target);
+			}
+		});
 	}
 
 	// A refusal may be a copy of an earlier one, so it is verified while a call may still
 	// be sent.
-	private void exchange(TargetQueue target, QueuedGrant grant, long timeoutNanos, Consumer<GrantReply> reply) {
+	private void exchange(TargetQueue target, QueuedGrant grant, long timeoutNanos, Consumer<GrantReply> receiver) {
 		GrantCall call = grant.call();
-		HttpRequest request = this.dialect.grantRequest(call);
-		target.connections.send(request, timeoutNanos, new Listener(target, call, (grantReply) -> {
-			boolean refused = REFUSALS.contains(grantReply.outcome());
-			if (refused && (grant.expired() || !this.mayGrant.getAsBoolean())) {
-				reply.accept(GrantReply.UNKNOWN);
-			}
-			else if (refused) {
-				target.connections.sendOnNewConnection(request, timeoutNanos, new Listener(target, call, reply));
-			}
-			else {
-				reply.accept(grantReply);
+		Consumer<GrantReply> reply = new SingleReply(receiver);
+		HttpRequest request;
+		try {
+			request = this.dialect.grantRequest(call);
+		}
+		catch (RuntimeException ex) {
+			callFailed(ex, GrantReply.NOT_SENT, reply);
+			return;
+		}
+		guardSending(reply,
+				() -> target.connections.send(request, timeoutNanos, new Listener(target, call, (grantReply) -> {
+					boolean refused = REFUSALS.contains(grantReply.outcome());
+					if (refused && (grant.expired() || !this.mayGrant.getAsBoolean())) {
+						reply.accept(GrantReply.UNKNOWN);
+					}
+					else if (refused) {
+						guardSending(reply, () -> target.connections.sendOnNewConnection(request, timeoutNanos,
+								new Listener(target, call, reply)));
+					}
+					else {
+						reply.accept(grantReply);
+					}
+				})));
+	}
+
+	// Part of the call may have been written when the sending fails.
+	private void guardSending(Consumer<GrantReply> reply, Runnable sending) {
+		try {
+			sending.run();
+		}
+		catch (RuntimeException ex) {
+			callFailed(ex, GrantReply.UNKNOWN, reply);
+		}
+	}
+
+	// The exception is left to the loop, whose failure handler reports it.
+	private void callFailed(RuntimeException failure, GrantReply result, Consumer<GrantReply> reply) {
+		this.loop.schedule(0, () -> reply.accept(result));
+		this.loop.schedule(0, () -> {
+			throw failure;
+		});
+	}
+
+	/**
+	 * Passes on the first reply to a call: the timeout of a call whose sending failed may
+	 * add another. Not thread safe.
+	 */
+	private static final class SingleReply implements Consumer<GrantReply> {
+
+		private final Consumer<GrantReply> receiver;
+
+		private boolean received;
+
+		SingleReply(Consumer<GrantReply> receiver) {
+			this.receiver = receiver;
+		}
+
+		@Override
+		public void accept(GrantReply reply) {
+			if (!this.received) {
+				this.received = true;
+				this.receiver.accept(reply);
 			}
-		}));
+		}
+
 	}
 
 	/** Receives the outcome of one call. */
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TargetCallsTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TargetCallsTests.java
@@ -27,6 +27,8 @@
 @Timeout(20)
 class TargetCallsTests {
 
+	private static final long MAX_REPLY_NANOS = 3_000_000_000L;
+
 	private boolean mayGrant = true;
 
 	/**
@@ -83,6 +85,52 @@
 		}
 	}
 
+	/**
+	 * Guards against a target that loses all its keys, because no grant is sent to it
+	 * after one that can't be written.
+	 */
+	@Test
+	void shouldSendGrantsAfterOneThatCanNotBeWritten() throws Exception {
+		try (RepeatingTarget target = RepeatingTarget.withoutCopies(response(200, ""))) {
+			EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
+			TargetCalls calls = new TargetCalls(loop, new TextDialect(), () -> true);
+			List<GrantOutcome> outcomes = new ArrayList<>();
+			loop.schedule(0, () -> calls.send(target.address(), grant(TextDialect.UNWRITABLE_FENCE), (reply) -> {
+			}));
+			loop.schedule(0, () -> calls.send(target.address(), grant(1), (reply) -> {
+				outcomes.add(reply.outcome());
+				loop.stop();
+			}));
+			loop.schedule(MAX_REPLY_NANOS, loop::stop);
+			loop.run();
+			assertThat(outcomes).containsExactly(GrantOutcome.CONFIRMED);
+		}
+	}
+
+	/**
+	 * Guards against a lease that waits for a reply without end and is never renewed,
+	 * because the next grant to the same target can't be written.
+	 */
+	@Test
+	void shouldReplyToAGrantAlthoughTheNextOneCanNotBeWritten() throws Exception {
+		try (RepeatingTarget target = RepeatingTarget.withoutCopies(response(200, ""))) {
+			EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
+			TargetCalls calls = new TargetCalls(loop, new TextDialect(), () -> true);
+			List<GrantOutcome> outcomes = new ArrayList<>();
+			loop.schedule(0, () -> {
+				calls.send(target.address(), grant(1), (reply) -> {
+					outcomes.add(reply.outcome());
+					loop.stop();
+				});
+				calls.send(target.address(), grant(TextDialect.UNWRITABLE_FENCE), (reply) -> {
+				});
+			});
+			loop.schedule(MAX_REPLY_NANOS, loop::stop);
+			loop.run();
+			assertThat(outcomes).containsExactly(GrantOutcome.CONFIRMED);
+		}
+	}
+
 	/** Guards against renewals that open a connection each time. */
 	@Test
 	void shouldRenewOverAKeptConnection() throws Exception {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
@@ -37,6 +37,9 @@
  */
 final class TextDialect implements PlatformDialect {
 
+	/** The fence of a grant that this dialect can't write. */
+	static final long UNWRITABLE_FENCE = 13;
+
 	private static final ServiceSpec SERVICE = new ServiceSpec("s", "/", 1, false, 0, 0, 0, GrantMode.CALL);
 
 	private final Map<String, Boolean> failingTexts = new ConcurrentHashMap<>();
@@ -73,6 +76,9 @@
 
 	@Override
 	public HttpRequest grantRequest(GrantCall call) {
+		if (call.fence() == UNWRITABLE_FENCE) {
+			throw new IllegalStateException("a call with the fence " + UNWRITABLE_FENCE + " can't be written");
+		}
 		return new HttpRequest("POST", call.release() ? "/release" : "/grant", List.of(), new byte[0]);
 	}
 
