Say ready while no entry instance follows

Cause: while no instance could follow, all of them answered their readiness question with 503. The platform states what its balancer does if a failure domain has none that is ready while others have some, not if all have none; an outage of the whole fleet was possible by our own doing (found by the review).

Change: an instance isn't ready only while it sends callers elsewhere. The test of this case expects 200 now, on purpose: it checks the decision, which has changed.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -301,7 +301,7 @@
 	}
 
 	private void readiness(HttpExchange exchange) {
-		boolean ready = !this.stopping && this.view.config().isPresent() && lagReason(System.nanoTime()).isEmpty();
+		boolean ready = !this.stopping && this.view.config().isPresent() && !yieldsToOthers();
 		exchange.respond(
 				HttpResponse.empty(this.dialect.isReadinessRequest(exchange.request()) ? (ready ? 200 : 503) : 404));
 	}
