Forget lost targets although following one committed target failed

Callers saw: targets that had crashed stayed in the view, and the keys of the service were no longer balanced, until the leader changed.

Cause: since a replica goes on if following a committed command fails. The controller then had no health for a target of the state, and the work that went over all targets ended at this one in each round.

Change: a target without health gets one when it is asked for, so that it is lost if it isn't heard of. The search for lost targets and the choice of targets for keys guard each target by itself; failures are reported as before.

Evidence: without the change the new test of FleetControllerTests fails (1 of 34, the crashed target is still there after 60 s); with it all 34 pass, formatter and linter included. The guards have no test of their own.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/CallDelivery.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/CallDelivery.java
@@ -43,7 +43,7 @@
 
 	@Override
 	public void maintain(RangeLease lease, FleetTarget target, long now) {
-		TargetHealth health = this.controller.health(target);
+		TargetHealth health = this.controller.health(target, now);
 		if (!reachable(health, now) && this.controller.addressTaken(target)) {
 			releaseDisputed(lease, target, now);
 			return;
@@ -80,7 +80,7 @@
 	public void release(RangeLease lease, FleetTarget target, long now) {
 		this.controller.viewChanged();
 		this.leases.releaseSent(lease, now);
-		this.output.release(lease, target, relayFor(this.controller.health(target), now));
+		this.output.release(lease, target, relayFor(this.controller.health(target, now), now));
 	}
 
 	private static Optional<String> relayFor(TargetHealth health, long now) {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -225,7 +225,7 @@
 	 * @return whether the target is about to receive keys
 	 */
 	public boolean awaitsKeys(TargetHeartbeat heartbeat, long receivedNanos, long now) {
-		return grantableSender(heartbeat)
+		return grantableSender(heartbeat, now)
 			.filter((target) -> this.heartbeatDelivery.awaitsKeys(target, receivedNanos, now))
 			.isPresent();
 	}
@@ -240,14 +240,14 @@
 	 * its latest one
 	 */
 	public Optional<LeaseRenewal> renewal(TargetHeartbeat heartbeat, long now) {
-		return grantableSender(heartbeat).map((target) -> this.heartbeatDelivery.renewal(target, now));
+		return grantableSender(heartbeat, now).map((target) -> this.heartbeatDelivery.renewal(target, now));
 	}
 
 	// Returns the sender of a heartbeat if the reply may grant it keys.
-	private Optional<FleetTarget> grantableSender(TargetHeartbeat heartbeat) {
+	private Optional<FleetTarget> grantableSender(TargetHeartbeat heartbeat, long now) {
 		return this.state.target(heartbeat.target().owner())
 			.filter((target) -> grantedByHeartbeat(target.service()))
-			.filter((target) -> health(target).isLatest(heartbeat.sequence()))
+			.filter((target) -> health(target, now).isLatest(heartbeat.sequence()))
 			.filter((target) -> !addressTaken(target));
 	}
 
@@ -516,7 +516,7 @@
 
 	private ViewTarget viewTarget(FleetTarget target, long now) {
 		return new ViewTarget(target.name(), target.service(), target.address(), target.domain(), target.slots(),
-				usable(target), health(target).coldLeftMillis(now), target.born());
+				usable(target), health(target, now).coldLeftMillis(now), target.born());
 	}
 
 	/**
@@ -544,8 +544,7 @@
 	}
 
 	private void recordHeartbeat(TargetHeartbeat heartbeat, FleetTarget known, long now) {
-		TargetHealth health = this.healthByTarget.computeIfAbsent(known.name(),
-				(name) -> TargetHealth.joined(known.born(), now));
+		TargetHealth health = health(known, now);
 		boolean wasCold = health.cold(now);
 		if (!health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now)) {
 			return;
@@ -564,7 +563,7 @@
 
 	private void recordCall(RangeLease lease, boolean answered, long now) {
 		this.state.target(lease.range().owner()).ifPresent((target) -> {
-			TargetHealth health = this.healthByTarget.get(target.name());
+			TargetHealth health = health(target, now);
 			if (health.suspect(now) != (!answered)) {
 				this.output.decision("target-contact", "target", target.name(), "answered", answered, "relay",
 						health.relay(now).orElse("none"));
@@ -582,10 +581,13 @@
 		this.state.targets()
 			.stream()
 			.filter((target) -> !owners.contains(target.owner()))
-			.filter((target) -> replaced.contains(target.name())
-					|| (target.stage() != Stage.LEFT && this.healthByTarget.get(target.name()).lost(now)))
 			.toList()
-			.forEach((target) -> proposeIfNotPending(new ForgetTarget(target.owner())));
+			.forEach((target) -> this.guard.run("forget lost targets", target::name, () -> {
+				if (replaced.contains(target.name())
+						|| (target.stage() != Stage.LEFT && health(target, now).lost(now))) {
+					proposeIfNotPending(new ForgetTarget(target.owner()));
+				}
+			}));
 	}
 
 	private void maintainLease(RangeLease lease, long now) {
@@ -626,16 +628,17 @@
 		return Optional.ofNullable(this.plannedReceivers.get(lease));
 	}
 
-	Optional<TargetHealth> health(Owner owner) {
-		return this.state.target(owner).map(this::health);
+	Optional<TargetHealth> health(Owner owner, long now) {
+		return this.state.target(owner).map((target) -> health(target, now));
 	}
 
 	void viewChanged() {
 		this.viewChanges++;
 	}
 
-	TargetHealth health(FleetTarget target) {
-		return this.healthByTarget.get(target.name());
+	// A target has no health yet if following the command that recorded it failed.
+	TargetHealth health(FleetTarget target, long now) {
+		return this.healthByTarget.computeIfAbsent(target.name(), (name) -> TargetHealth.joined(target.born(), now));
 	}
 
 	// A target may apply an unanswered grant seconds later. Once it has seen a higher
@@ -694,7 +697,8 @@
 	private boolean willBeRenewed(RangeLease lease, long now) {
 		return lease.granted() && this.state.target(lease.range().owner())
 			.filter(this::mayKeepKeys)
-			.filter((target) -> delivery(lease.service()).reachable(health(target), now) && !health(target).lost(now))
+			.filter((target) -> delivery(lease.service()).reachable(health(target, now), now)
+					&& !health(target, now).lost(now))
 			.isPresent();
 	}
 
@@ -749,7 +753,7 @@
 
 	private boolean ownerReachable(RangeLease lease, long now) {
 		return this.state.target(lease.range().owner())
-			.filter((target) -> delivery(lease.service()).reachable(health(target), now))
+			.filter((target) -> delivery(lease.service()).reachable(health(target, now), now))
 			.isPresent();
 	}
 
@@ -764,7 +768,7 @@
 		this.plannedReceivers.put(moved, rangeMove.receiver());
 		this.output.decision("move", "service", service, "keys", format(rangeMove.keys()), "target",
 				rangeMove.owner().target(), "receiver", rangeMove.receiver().target(), "slowness",
-				this.healthByTarget.get(rangeMove.owner().target()).slowness());
+				health(owner.get(), now).slowness());
 		delivery(service).release(moved, owner.get(), now);
 	}
 
@@ -775,13 +779,21 @@
 			.collect(Collectors.toMap(FleetTarget::address, FleetTarget::born, Math::max));
 		return this.state.targets()
 			.stream()
-			.filter((target) -> target.service().equals(service) && mayReceiveKeys(target, now)
-					&& target.born() == latestStarts.get(target.address()))
-			.map((target) -> new Bin(target.owner(), this.observations.capacity(target, now),
-					rangesOf(service, target.owner(), without), load))
+			.filter((target) -> target.service().equals(service) && target.born() == latestStarts.get(target.address()))
+			.flatMap((target) -> this.guard.call("weigh target", target::name, () -> bin(target, load, without, now))
+				.stream()
+				.flatMap(Optional::stream))
 			.toList();
 	}
 
+	private Optional<Bin> bin(FleetTarget target, KeyLoad load, List<RangeLease> without, long now) {
+		if (!mayReceiveKeys(target, now)) {
+			return Optional.empty();
+		}
+		return Optional.of(new Bin(target.owner(), this.observations.capacity(target, now),
+				rangesOf(target.service(), target.owner(), without), load));
+	}
+
 	// Returns the ranges of an owner. A range that is being moved counts towards its
 	// receiver.
 	private Stream<KeyRange> rangesOf(String service, Owner owner, List<RangeLease> without) {
@@ -797,7 +809,7 @@
 	}
 
 	private boolean mayReceiveKeys(FleetTarget target, long now) {
-		TargetHealth health = health(target);
+		TargetHealth health = health(target, now);
 		return mayKeepKeys(target) && !health.cold(now) && delivery(target.service()).reachable(health, now)
 				&& !health.lost(now);
 	}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/HeartbeatDelivery.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/HeartbeatDelivery.java
@@ -163,7 +163,7 @@
 
 	private boolean isReleaseNear(RangeLease lease, long now) {
 		if (lease.releaseRequested()) {
-			return this.controller.health(lease.range().owner())
+			return this.controller.health(lease.range().owner(), now)
 				.map((health) -> health.nextHeartbeatInNanos(now))
 				.filter((nanos) -> Math.abs(nanos) < RELEASE_NEAR_NANOS)
 				.isPresent();
@@ -181,7 +181,7 @@
 		}
 		long waitsUntil = this.waitingTargets.getOrDefault(receiver.get(), now);
 		boolean waiting = waitsUntil - now > RELEASE_DURATION_NANOS;
-		return waiting || this.controller.health(receiver.get())
+		return waiting || this.controller.health(receiver.get(), now)
 			.map((health) -> health.nextHeartbeatInNanos(now))
 			.filter((nanos) -> nanos > RELEASE_DURATION_NANOS && nanos < RELEASE_NEAR_NANOS)
 			.isPresent();
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -109,6 +109,21 @@
 		assertThat(this.fleet.owners()).contains("t-2", "t-3").doesNotContain("t-1");
 	}
 
+	/**
+	 * Guards against crashed targets that are kept for good, since one target was
+	 * committed and following its command failed.
+	 */
+	@Test
+	void shouldForgetLostTargetsIfACommittedTargetWasNotFollowed() {
+		awaitInitialAssignment();
+		FleetTarget crashed = this.fleet.state.target("t-1").orElseThrow();
+		this.fleet.unresponsive.addAll(List.of("t-1", "t-9"));
+		this.fleet.state.apply(new RecordTarget(new FleetTarget("t-9", 1, crashed.service(), "10.0.9.9:80",
+				crashed.domain(), crashed.slots(), Stage.SERVING)));
+		this.fleet.advance(60_000);
+		assertThat(this.fleet.state.target("t-1")).isEmpty();
+	}
+
 	/** Guards against averages that never recover from one report. */
 	@Test
 	void shouldNotUseElementsOfReportsThatCannotBeTrue() {
