Judge a configuration only by reports of entry instances that have received it

Callers saw: a valid replacement of a configuration that no entry instance could read was answered as unavailable if the entry instances took more than 300 ms to report on it. A repeated call of an earlier accepted version was answered as unavailable too, for a version that it did not name.

Cause: the answer depended on the lags last reported, also those that belong to an earlier version.

Change: a version counts as readable by none if it is still in force and all responsive entry instances state so in reports that acknowledge the first view with that version. The fake entry instance of LaggingEntryTests reports regularly and acknowledges each view; before, it never reported on version 6 and the test passed by the fault. Its assertions are unchanged.

Evidence: shouldAcknowledgeAReplacementThatEntryInstancesHaveNotReportedOn and shouldAcknowledgeARepeatedCallOfAnEarlierVersion fail without the change ("UNAVAILABLE version 6 is recorded") and pass with it; so does the existing test for an unreadable configuration.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -577,7 +577,7 @@
 	private void replaceConfig(ControlRequest.ReplaceConfig change, Consumer<ControlAnswer> reply) {
 		FleetState state = this.replica.state();
 		if (state.accepted(change.version(), change.document())) {
-			reply.accept(acceptedConfig(this.entries.readableByNone(System.nanoTime())));
+			reply.accept(acceptedConfig(this.entries.readableByNone(change.version(), System.nanoTime())));
 			return;
 		}
 		if (change.document().length > MAX_CONFIG_BYTES) {
@@ -597,10 +597,11 @@
 			return;
 		}
 		FleetCommand command = new FleetCommand.ReplaceConfig(change.base(), change.version(), change.document());
-		this.replica.propose(command, (result) -> replyToReplaceConfig(result, reply));
+		this.replica.propose(command, (result) -> replyToReplaceConfig(change, result, reply));
 	}
 
-	private void replyToReplaceConfig(Optional<FleetResult> result, Consumer<ControlAnswer> reply) {
+	private void replyToReplaceConfig(ControlRequest.ReplaceConfig change, Optional<FleetResult> result,
+			Consumer<ControlAnswer> reply) {
 		if (result.isEmpty()) {
 			reply.accept(undecided());
 			return;
@@ -608,7 +609,8 @@
 		switch (result.get().outcome()) {
 			case ACCEPTED -> this.entries.confirmWhenApplied(result.get().configVersion(),
 					(readableByNone) -> reply.accept(acceptedConfig(readableByNone)));
-			case ALREADY_ACCEPTED -> reply.accept(acceptedConfig(this.entries.readableByNone(System.nanoTime())));
+			case ALREADY_ACCEPTED ->
+				reply.accept(acceptedConfig(this.entries.readableByNone(change.version(), System.nanoTime())));
 			case WRONG_BASE -> reply.accept(
 					ControlAnswer.of(Kind.WRONG_VERSION, "version " + result.get().configVersion() + " is in force"));
 			case VERSION_NOT_HIGHER -> reply.accept(ControlAnswer.of(Kind.INVALID,
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
@@ -80,6 +80,9 @@
 	// The last view that was built, and the inputs that it was built from.
 	private ViewState currentView = ViewState.EMPTY;
 
+	// The sequence number of the first view with the configuration of the last one.
+	private long configSequence;
+
 	private int instances;
 
 	private int lastBuiltInstances;
@@ -205,6 +208,9 @@
 		try {
 			ViewState next = source.state(this.currentView.sequence() + 1, this.instances, now);
 			if (next.differs(this.currentView)) {
+				if (next.configVersion() != this.currentView.configVersion()) {
+					this.configSequence = next.sequence();
+				}
 				this.currentView = next;
 			}
 			this.lastBuiltChangeCount = changeCount;
@@ -280,10 +286,15 @@
 				: Optional.empty();
 	}
 
-	// Returns whether all entry instances state that they can't read the configuration.
-	boolean readableByNone(long now) {
+	// Returns whether all entry instances state that they can't read the version of the
+	// configuration. Only reports of instances that have received it count, and none do
+	// once it is replaced.
+	boolean readableByNone(long configVersion, long now) {
 		List<EntrySession> responsive = responsiveSessions(now);
-		return !responsive.isEmpty() && responsive.stream().allMatch((session) -> configUnreadable(session.progress()));
+		return configVersion == this.currentView.configVersion() && !responsive.isEmpty()
+				&& responsive.stream()
+					.allMatch((session) -> session.flowControl().acknowledgedSequence() >= this.configSequence
+							&& configUnreadable(session.progress()));
 	}
 
 	private static boolean configUnreadable(EntryProgress entry) {
@@ -344,7 +355,7 @@
 						.limit(MAX_LOGGED_NAMES)
 						.map(EntrySession::name)
 						.collect(Collectors.joining(" ")));
-			confirmation.reply().accept(readableByNone(now));
+			confirmation.reply().accept(readableByNone(confirmation.configVersion(), now));
 		}
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/LaggingEntryTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/LaggingEntryTests.java
@@ -40,12 +40,12 @@
 		try (ControlFixture control = new ControlFixture(this.folder, LEADER);
 				TestPeer unable = new TestPeer(control.peerAddress(LEADER))) {
 			assertThat(control.call("replace 0 5 one")).startsWith("ACCEPTED");
-			report(unable, "unable", Optional.of(LAG));
+			unable.reportRegularly("unable", Optional.of(LAG));
 			awaitFollowed(unable, false);
 			assertThat(control.callOnce(LEADER, "replace 5 6 two")).startsWith("UNAVAILABLE version 6 is recorded");
 			assertThat(control.callOnce(LEADER, "replace 5 6 two")).startsWith("UNAVAILABLE version 6 is recorded");
 			try (TestPeer able = new TestPeer(control.peerAddress(LEADER))) {
-				report(able, "able", Optional.empty());
+				able.reportRegularly("able", Optional.empty());
 				awaitFollowed(able, true);
 				assertThat(control.callOnce(LEADER, "replace 5 6 two")).startsWith("ACCEPTED");
 				assertThat(control.callOnce(LEADER, "replace 6 7 three")).startsWith("ACCEPTED");
@@ -53,6 +53,38 @@
 		}
 	}
 
+	/**
+	 * Guards against a valid replacement of an unreadable configuration that is refused
+	 * since the entry instances haven't received it yet.
+	 */
+	@Test
+	void shouldAcknowledgeAReplacementThatEntryInstancesHaveNotReportedOn() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, LEADER);
+				TestPeer slow = new TestPeer(control.peerAddress(LEADER))) {
+			assertThat(control.call("replace 0 5 one")).startsWith("ACCEPTED");
+			report(slow, "slow", Optional.of(LAG));
+			awaitFollowed(slow, false);
+			assertThat(control.callOnce(LEADER, "replace 5 6 two")).startsWith("ACCEPTED");
+			assertThat(control.callOnce(LEADER, "replace 5 6 two")).startsWith("ACCEPTED");
+		}
+	}
+
+	/**
+	 * Guards against a repeated call whose version was replaced since, and that is
+	 * refused since the configuration in force can't be read.
+	 */
+	@Test
+	void shouldAcknowledgeARepeatedCallOfAnEarlierVersion() throws Exception {
+		try (ControlFixture control = new ControlFixture(this.folder, LEADER);
+				TestPeer unable = new TestPeer(control.peerAddress(LEADER))) {
+			assertThat(control.call("replace 0 5 one")).startsWith("ACCEPTED");
+			unable.reportRegularly("unable", Optional.of(LAG));
+			awaitFollowed(unable, false);
+			assertThat(control.callOnce(LEADER, "replace 5 6 two")).startsWith("UNAVAILABLE version 6 is recorded");
+			assertThat(control.callOnce(LEADER, "replace 0 5 one")).startsWith("ACCEPTED");
+		}
+	}
+
 	/**
 	 * Guards against all entry instances that refuse requests because each of them
 	 * assumes that another one follows.
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TestPeer.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TestPeer.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import org.redwingramp.core.fleet.EntryReport;
 import org.redwingramp.core.fleet.FleetView;
 import org.redwingramp.node.link.LinkMessage;
 import org.redwingramp.wire.CodecException;
@@ -24,6 +25,8 @@
 
 	private static final int TIMEOUT_SECONDS = 10;
 
+	private static final long REPORT_INTERVAL_MILLIS = 50;
+
 	private static final RecordCodec<LinkMessage> CODEC = RecordCodec.of(LinkMessage.class);
 
 	private final Socket socket = new Socket();
@@ -63,6 +66,15 @@
 		}
 	}
 
+	// Acts as an entry instance that reports at regular intervals until it is closed. It
+	// acknowledges each view and states the same lag with each of them.
+	void reportRegularly(String name, Optional<String> lag) throws IOException, CodecException {
+		send(new LinkMessage.EntryHello(name, 0));
+		Thread reporter = new Thread(() -> report(name, lag), "reports of test peer");
+		reporter.setDaemon(true);
+		reporter.start();
+	}
+
 	// Returns the view that was received last, if any.
 	Optional<FleetView> newestView() {
 		return this.newestView;
@@ -95,4 +107,20 @@
 		}
 	}
 
+	private void report(String name, Optional<String> lag) {
+		try {
+			while (!this.socket.isClosed()) {
+				Optional<FleetView> view = this.newestView;
+				if (view.isPresent()) {
+					send(new LinkMessage.Report(name, view.get().term(), view.get().sequence(),
+							new EntryReport(List.of(), List.of(), List.of()), Optional.empty(), Optional.of(0L), lag));
+				}
+				Thread.sleep(REPORT_INTERVAL_MILLIS);
+			}
+		}
+		catch (IOException | CodecException | InterruptedException ex) {
+			// The link has ended.
+		}
+	}
+
 }
