Read the log in the tests of entry sessions only after it is written

Cause: the log is written by a thread of its own, so that the count of lines could be taken too early.

Change: the tests close the log first.

--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/EntrySessionsTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/EntrySessionsTests.java
@@ -42,6 +42,8 @@
 
 	private final ByteArrayOutputStream log = new ByteArrayOutputStream();
 
+	private final EventWriter events = new EventWriter(this.log, LEADER);
+
 	@TempDir
 	private Path folder;
 
@@ -74,7 +76,7 @@
 	@Test
 	void shouldBuildAViewAgainAfterAFailure() throws Exception {
 		EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
-		EntrySessions sessions = new EntrySessions(loop, new EventWriter(this.log, LEADER));
+		EntrySessions sessions = new EntrySessions(loop, this.events);
 		FakeViewSource source = new FakeViewSource();
 		EntrySession session = openSession(sessions, loop, "e", source.configVersion());
 		long now = System.nanoTime();
@@ -100,7 +102,7 @@
 	@Test
 	void shouldSendViewsAlthoughOneInstanceIsToReceiveOneThatCannotBeEncoded() throws Exception {
 		EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
-		EntrySessions sessions = new EntrySessions(loop, new EventWriter(this.log, LEADER));
+		EntrySessions sessions = new EntrySessions(loop, this.events);
 		FakeViewSource source = new FakeViewSource();
 		source.document = new byte[RecordCodec.DEFAULT_MAX_BYTES + 1];
 		EntrySession lackingConfig = openSession(sessions, loop, "lacking", 0);
@@ -153,6 +155,7 @@
 	}
 
 	private long logLinesWith(String text) {
+		this.events.close();
 		return this.log.toString(StandardCharsets.UTF_8).lines().filter((line) -> line.contains(text)).count();
 	}
 
