Stop a replica whose disk write ends with an unexpected failure

Operators would see (found by reading): a replica that neither works nor ends after a disk write threw anything but a StorageException.

Cause: the disk task caught only that exception, so the replica waited for the write for good.

Change: the replica stops, as for other failed disk writes. The store can be passed to the replica, for the test.

Evidence: shouldStopAfterAnUnexpectedFailureOfADiskWrite (an exception and an error) fails without the change, where the replica still runs after 10 s, and passes with it.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -129,11 +129,17 @@
 	// The executor runs the disk writes one after the other.
 	ReplicaHost(EventLoop loop, ControlSettings settings, EventWriter events, ExecutorService diskExecutor)
 			throws StorageException {
+		this(loop, settings, events, diskExecutor, openStore(settings, events));
+	}
+
+	// The replica owns the store from here on.
+	ReplicaHost(EventLoop loop, ControlSettings settings, EventWriter events, ExecutorService diskExecutor,
+			ReplicaStore store) throws StorageException {
 		this.loop = loop;
 		this.events = events;
 		this.diskExecutor = diskExecutor;
 		this.startedNanos = settings.startedNanos();
-		this.store = openStore(settings, events);
+		this.store = store;
 		List<String> founders = isFounder(settings) ? settings.seeds() : List.of();
 		this.replica = Replicas.createOpen(this.store.load(), founders, settings.voters(), TIMING, new SecureRandom());
 		this.peers = new PeerLinks(loop, settings, this::hello, this::received, events);
@@ -317,6 +323,11 @@
 			catch (StorageException ex) {
 				this.loop.post(() -> fail(NodeEvent.STORAGE_FAILED, ex.getMessage()));
 			}
+			catch (RuntimeException | Error ex) {
+				// Whether the batch is on disk is unknown, and no later write may follow
+				// it.
+				this.loop.post(() -> fail(NodeEvent.STORAGE_FAILED, "disk write " + batch.number() + ": " + ex));
+			}
 		});
 	}
 
