Stop a replica that cannot execute all effects of a batch

Operators would see (found by reading): a replica whose state differs from that of the others. A message that could not be sent, or an error while an entry was followed, left out the other committed entries of its batch, and later ones were applied. The end of the disk write was not reported to the replica either.

Cause: the failure left the execution of the effects for the event loop, which goes on.

Change: a message that cannot be sent counts as lost (failed_work, one log line a receiver). Any other failure stops the replica, and a stopped one executes no further effects.

Evidence: shouldStopIfTheCommittedEntriesOfABatchAreNotAllApplied fails without the change (93 commands were applied after the first had failed) and passes with it. The guard of a single message has no test of its own: no message of a replica was at hand that cannot be encoded.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -5,8 +5,10 @@
 import java.security.SecureRandom;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -105,6 +107,9 @@
 
 	private final CompactionSchedule compaction = new CompactionSchedule(SNAPSHOT_INTERVAL_ENTRIES);
 
+	// Replicas to which a message couldn't be sent, each of which is logged once.
+	private final Set<String> loggedSendFailures = new HashSet<>();
+
 	private BiConsumer<FleetCommand, FleetResult> appliedListener = (command, result) -> {
 	};
 
@@ -296,7 +301,7 @@
 		}
 		this.executing = true;
 		try {
-			while (!this.writing && !this.pendingEffects.isEmpty()) {
+			while (!this.failed && !this.writing && !this.pendingEffects.isEmpty()) {
 				ReplicaEffects effects = this.pendingEffects.peek();
 				if (effects.persist().isPresent()) {
 					persist(effects.persist().get());
@@ -353,18 +358,36 @@
 		this.loop.stop();
 	}
 
+	// Later effects rely on these, so the replica stops if they can't all be executed.
 	private void execute(ReplicaEffects effects) {
-		effects.messages().forEach(this::send);
-		effects.snapshotToInstall().ifPresent(this::installSnapshot);
-		effects.results()
-			.forEach((result) -> this.proposals.resolved(result)
-				.ifPresent((handler) -> notify("reply to a proposal", () -> handler.accept(Optional.empty()))));
-		effects.committed().forEach(this::apply);
-		compactIfDue();
+		try {
+			effects.messages().forEach(this::send);
+			effects.snapshotToInstall().ifPresent(this::installSnapshot);
+			effects.results()
+				.forEach((result) -> this.proposals.resolved(result)
+					.ifPresent((handler) -> notify("reply to a proposal", () -> handler.accept(Optional.empty()))));
+			effects.committed().forEach(this::apply);
+			compactIfDue();
+		}
+		catch (RuntimeException | Error ex) {
+			fail(NodeEvent.UNEXPECTED_FAILURE,
+					"effects after log entry " + this.appliedIndex + " can't be executed (" + ex + ")");
+		}
 	}
 
+	// A message that can't be sent counts as lost, which the consensus tolerates.
 	private void send(Outbound outbound) {
-		this.peers.send(outbound.receiver().name(), new LinkMessage.Consensus(this.replica.id(), outbound.message()));
+		String receiver = outbound.receiver().name();
+		try {
+			this.peers.send(receiver, new LinkMessage.Consensus(this.replica.id(), outbound.message()));
+		}
+		catch (RuntimeException ex) {
+			this.events.metrics().count("failed_work", "send to replica");
+			if (this.loggedSendFailures.add(receiver)) {
+				this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", "send to replica", "element", receiver, "failure",
+						ex);
+			}
+		}
 	}
 
 	// Reports an unknown result for each proposal that isn't committed, including those
