Drain targets that leave although another element of a report fails

Callers would see: requests still sent to a target that said in a response that it leaves, and load and response times that aren't counted.

Cause: the controller processed the elements of an entry instance's report in unguarded loops, the targets that leave near the end. An exception for one element dropped all later ones.

Change: targets that leave are processed first, and each element is guarded by itself; a failure is reported as that of "process report".

Evidence: without the change the new test of FleetControllerTests ends with the exception of the failing element; with it all 35 tests of FleetControllerTests and the 8 of TargetLimitTests pass, formatter and linter included.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -270,28 +271,37 @@
 	 * @param now the monotonic time in nanoseconds
 	 */
 	public void report(String entry, EntryReport report, long now) {
-		report.targets()
-			.stream()
-			.filter((usage) -> usage.plausible() && this.healthByTarget.containsKey(usage.target()))
-			.forEach((usage) -> this.healthByTarget.get(usage.target())
-				.recordResponses(entry, usage.expectedMillis(), usage.elapsedMillis(), now));
+		report.leaving().forEach((owner) -> processElement(owner::target, () -> targetLeaves(entry, owner)));
 		report.targets()
 			.stream()
 			.filter(TargetUse::plausible)
-			.forEach((usage) -> this.state.target(usage.target())
-				.ifPresent((target) -> this.observations.responsesReported(target.service(), usage)));
+			.forEach((usage) -> processElement(usage::target, () -> responsesReported(entry, usage, now)));
 		report.observations()
 			.stream()
 			.filter(Observation::plausible)
-			.forEach((observation) -> this.observations.received(observation, now));
-		report.leaving().forEach((owner) -> targetLeaves(entry, owner));
+			.forEach((observation) -> processElement(observation::subject,
+					() -> this.observations.received(observation, now)));
 		report.keys()
 			.stream()
 			.filter((usage) -> usage.plausible() && this.shardedServices.containsKey(usage.service()))
-			.forEach((usage) -> loadOf(usage.service(), now).add(usage.key(), usage.millis()));
+			.forEach((usage) -> processElement(usage::service,
+					() -> loadOf(usage.service(), now).add(usage.key(), usage.millis())));
 		logImplausible(entry, report);
 	}
 
+	private void processElement(Supplier<String> element, Runnable work) {
+		this.guard.run("process report", element, work);
+	}
+
+	private void responsesReported(String entry, TargetUse usage, long now) {
+		TargetHealth health = this.healthByTarget.get(usage.target());
+		if (health != null) {
+			health.recordResponses(entry, usage.expectedMillis(), usage.elapsedMillis(), now);
+		}
+		this.state.target(usage.target())
+			.ifPresent((target) -> this.observations.responsesReported(target.service(), usage));
+	}
+
 	// Logs once for each entry instance that elements of its report weren't used.
 	private void logImplausible(String entry, EntryReport report) {
 		long dropped = report.implausible();
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
@@ -49,6 +49,9 @@
 
 	final List<String> decisions = new ArrayList<>();
 
+	/** Decisions whose output ends with an unexpected exception. */
+	final Set<String> failingDecisions = new HashSet<>();
+
 	final List<FleetCommand> commands = new ArrayList<>();
 
 	FleetController controller;
@@ -200,6 +203,9 @@
 
 	@Override
 	public void decision(String event, Object... details) {
+		if (this.failingDecisions.contains(event)) {
+			throw new IllegalStateException("the decision " + event + " can't be output");
+		}
 		this.decisions.add(event);
 	}
 
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -73,6 +73,22 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against requests to a target that leaves, since another element of the same
+	 * report can't be processed.
+	 */
+	@Test
+	void shouldDrainATargetAlthoughAnotherElementOfTheReportFails() {
+		awaitInitialAssignment();
+		this.fleet.failingDecisions.add("observation");
+		Observation failing = new Observation(ObservationKind.CRASHED, "r-1", 1, 0);
+		this.fleet.controller.report("front-1",
+				new EntryReport(List.of(), List.of(), List.of(failing), List.of(new Owner("t-1", 1))), this.fleet.now);
+		this.fleet.advance(100);
+		assertThat(this.fleet.failures).containsExactly("process report");
+		assertThat(this.fleet.state.target("t-1").orElseThrow().stage()).isEqualTo(Stage.DRAINING);
+	}
+
 	/**
 	 * Guards against targets of another program's entries that name no failure domain.
 	 */
