Close the connection of a request whose handler runs out of memory again

Cause: answers 500 in that case, which RequestMemoryTests rules out: the loop ends such a connection, so that nothing more is allocated for it.

Change: the server answers after exceptions and stack overflows only. A comment is shortened.

Evidence: RequestMemoryTests (6) and EntryStopTests (10) pass.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -618,9 +618,7 @@
 		}
 	}
 
-	// A configuration that no entry instance can read isn't in force anywhere, so it
-	// isn't
-	// acknowledged.
+	// A configuration that no entry instance can read isn't in force anywhere.
 	private ControlAnswer acceptedConfig(boolean readableByNone) {
 		return readableByNone
 				? ControlAnswer.of(Kind.UNAVAILABLE, "version " + this.replica.state().configVersion()
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ServerConnection.java
@@ -200,7 +200,7 @@
 		try {
 			this.server.handle(this.current);
 		}
-		catch (RuntimeException | OutOfMemoryError | StackOverflowError ex) {
+		catch (RuntimeException | StackOverflowError ex) {
 			answerUnexpectedFailure();
 			throw ex;
 		}
