Count and log failed work in one class

Cause: ControlNode.Output and EntrySessions each had the same counter and bounded line for work that failed for one element; KeyOwners repeated the check of KeyRange.valid().

Change: FailedWorkLog serves both, KeyOwners calls valid(). Behaviour is the same.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/KeyOwners.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/KeyOwners.java
@@ -102,8 +102,7 @@
 	}
 
 	private static void assign(TreeMap<Integer, String> owners, ViewRange range) {
-		if (range.first() < 0 || range.first() > range.last() || range.last() >= KeyRange.KEYS
-				|| range.owner() == null) {
+		if (!new KeyRange(range.first(), range.last()).valid() || range.owner() == null) {
 			throw new IllegalArgumentException(range + " isn't an owned range of the keys 0 to " + (KeyRange.KEYS - 1));
 		}
 		int next = range.last() + 1;
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -96,9 +96,6 @@
 	 */
 	private static final long SUSPENSION_THRESHOLD_MILLIS = 400;
 
-	/** Maximum number of elements whose failed work is logged in a leadership. */
-	private static final int MAX_LOGGED_FAILURES = 100;
-
 	/**
 	 * Maximum size of a configuration, which is part of a command. The call may be
 	 * larger, so that the refusal can state the reason.
@@ -675,7 +672,7 @@
 
 		private final long term = ControlNode.this.controllerTerm;
 
-		private final Set<String> loggedFailures = new HashSet<>();
+		private final FailedWorkLog failedWork = new FailedWorkLog(ControlNode.this.events);
 
 		@Override
 		public void propose(FleetCommand command) {
@@ -714,11 +711,7 @@
 
 		@Override
 		public void workFailed(String duty, String element, RuntimeException failure) {
-			ControlNode.this.events.metrics().count("failed_work", duty);
-			if (this.loggedFailures.size() < MAX_LOGGED_FAILURES && this.loggedFailures.add(duty + ' ' + element)) {
-				ControlNode.this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", duty, "element", element, "failure",
-						failure);
-			}
+			this.failedWork.failed(duty, element, failure);
 		}
 
 		private Optional<FleetController> activeController() {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/EntrySessions.java
@@ -53,9 +53,6 @@
 	/** Maximum number of entry instances that one log line names. */
 	private static final int MAX_LOGGED_NAMES = 5;
 
-	/** Maximum number of elements whose failed work is logged in a leadership. */
-	private static final int MAX_LOGGED_FAILURES = 100;
-
 	private final EventLoop loop;
 
 	private final EventWriter events;
@@ -70,7 +67,7 @@
 
 	private final Map<String, EntryProgress> progress = new HashMap<>();
 
-	private final Set<String> loggedFailures = new HashSet<>();
+	private final FailedWorkLog failedWork;
 
 	private long lastRelayNumber;
 
@@ -92,6 +89,7 @@
 	EntrySessions(EventLoop loop, EventWriter events) {
 		this.loop = loop;
 		this.events = events;
+		this.failedWork = new FailedWorkLog(events);
 	}
 
 	void addGauges(NodeMetrics metrics) {
@@ -144,7 +142,7 @@
 	void startLeading(long leadershipTerm) {
 		this.term = leadershipTerm;
 		this.lastBuiltChangeCount = -1;
-		this.loggedFailures.clear();
+		this.failedWork.restart();
 		this.links.forEach((link, hello) -> openSession(link, hello.entry(), hello.configVersion()));
 	}
 
@@ -168,7 +166,7 @@
 			}
 			catch (RuntimeException ex) {
 				session.viewFailed(now);
-				workFailed("send view", session.name(), ex);
+				this.failedWork.failed("send view", session.name(), ex);
 			}
 		}
 	}
@@ -185,13 +183,6 @@
 		}
 	}
 
-	private void workFailed(String duty, String element, RuntimeException failure) {
-		this.events.metrics().count("failed_work", duty);
-		if (this.loggedFailures.size() < MAX_LOGGED_FAILURES && this.loggedFailures.add(duty + ' ' + element)) {
-			this.events.log(NodeEvent.UNEXPECTED_FAILURE, "duty", duty, "element", element, "failure", failure);
-		}
-	}
-
 	private byte[] encode(ViewSource source, ViewState base, boolean config, long now) {
 		Optional<byte[]> document = config ? Optional.of(source.document()) : Optional.empty();
 		return Link.encode(new LinkMessage.View(this.currentView.changesSince(base, this.term, document, now)));
@@ -218,7 +209,7 @@
 			return true;
 		}
 		catch (RuntimeException ex) {
-			workFailed("build view", "all", ex);
+			this.failedWork.failed("build view", "all", ex);
 			return false;
 		}
 	}
@@ -266,9 +257,8 @@
 	}
 
 	// Delays the response to an operator until the entry instances have applied the
-	// change, but at most for the confirmation timeout. The reply is told whether no
-	// entry
-	// instance can read the configuration.
+	// change, but at most for the confirmation timeout. The reply is told whether none of
+	// them can read the configuration.
 	void confirmWhenApplied(long configVersion, Consumer<Boolean> reply) {
 		Confirmation confirmation = new Confirmation(this.currentView.sequence() + 1, configVersion, System.nanoTime(),
 				reply);
