--- /dev/null
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
@@ -0,0 +1,105 @@
+package org.redwingramp.core.dispatch;
+
+/**
+ * What is known of the time for which one incarnation of a target is cold, that is,
+ * warming up: until when, by whose word, and since when. Reads no clock. Not thread safe.
+ */
+public final class ColdPeriod {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private Source source = Source.NONE;
+
+	private long untilNanos;
+
+	private long sinceNanos;
+
+	/**
+	 * Creates a cold period of which nothing is known; the target counts as warm.
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public ColdPeriod(long now) {
+		this.untilNanos = now;
+		this.sinceNanos = now;
+	}
+
+	/**
+	 * Records the remaining time that the control leader states. It replaces what was
+	 * known before.
+	 * @param leftMillis the time in milliseconds, 0 if the target is warm
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void stated(long leftMillis, long now) {
+		set(Source.STATED, leftMillis, now);
+	}
+
+	/**
+	 * Records the remaining time that the target itself names in a response. It doesn't
+	 * shorten the period, since responses arrive in another order than they were sent.
+	 * @param leftMillis the time in milliseconds
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void named(long leftMillis, long now) {
+		if (now + leftMillis * NANOS_PER_MILLI - this.untilNanos > 0) {
+			set(Source.NAMED, leftMillis, now);
+		}
+	}
+
+	private void set(Source next, long leftMillis, long now) {
+		this.source = next;
+		this.untilNanos = now + leftMillis * NANOS_PER_MILLI;
+		this.sinceNanos = now;
+	}
+
+	/**
+	 * Returns whether the target is cold.
+	 * @param now the monotonic time in nanoseconds
+	 * @return whether it is cold
+	 */
+	public boolean cold(long now) {
+		return now - this.untilNanos < 0;
+	}
+
+	/**
+	 * Returns the time for which the target is still cold.
+	 * @param now the monotonic time in nanoseconds
+	 * @return the time in milliseconds, 0 if it is warm
+	 */
+	public long leftMillis(long now) {
+		return Math.max(0, (this.untilNanos - now) / NANOS_PER_MILLI);
+	}
+
+	/**
+	 * Returns by whose word the period is known.
+	 * @return the source
+	 */
+	public Source source() {
+		return this.source;
+	}
+
+	/**
+	 * Returns the age of what is known.
+	 * @param now the monotonic time in nanoseconds
+	 * @return the time in milliseconds since it was recorded
+	 */
+	public long ageMillis(long now) {
+		return (now - this.sinceNanos) / NANOS_PER_MILLI;
+	}
+
+	/**
+	 * By whose word a cold period is known. The constant names are written to the log.
+	 */
+	public enum Source {
+
+		/** Nothing is known. */
+		NONE,
+
+		/** The control leader stated it in a view. */
+		STATED,
+
+		/** The target named it in a response. */
+		NAMED
+
+	}
+
+}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -212,6 +212,7 @@
 			TargetHealth health = TargetHealth.joined(target.born(), now);
 			health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now);
 			this.healthByTarget.put(target.name(), health);
+			logColdPeriod(target, health, "joined", now);
 			return this.targets.record(target);
 		}
 		recordHeartbeat(heartbeat, known.get(), now);
@@ -429,6 +430,7 @@
 			.filter((target) -> target.domain().equals(domain) && this.healthByTarget.containsKey(target.name()))
 			.forEach((target) -> this.healthByTarget.get(target.name())
 				.extendColdPeriod(coldMillis * NANOS_PER_MILLI, now));
+		this.output.decision("domain-cold", "domain", domain, "cold-left", coldMillis);
 		this.viewChanges++;
 	}
 
@@ -616,12 +618,18 @@
 		}
 		if (wasCold != health.cold(now)) {
 			this.viewChanges++;
+			logColdPeriod(known, health, "heartbeat", now);
 		}
 		if (grantedByHeartbeat(known.service()) && this.heartbeatDelivery.reported(known, heartbeat.keys())) {
 			assignUnownedRanges(known.service(), now);
 		}
 	}
 
+	private void logColdPeriod(FleetTarget target, TargetHealth health, String cause, long now) {
+		this.output.decision("cold-period", "target", target.name(), "born", target.born(), "cause", cause, "cold-left",
+				health.coldLeftMillis(now));
+	}
+
 	boolean addressTaken(FleetTarget target) {
 		return this.targets.addressTaken(target);
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -99,6 +99,9 @@
 	/** The response time assumed for a route before its first response. */
 	private static final double INITIAL_ROUTE_MILLIS = 100;
 
+	/** Maximum number of cold targets of one view that are logged. */
+	private static final int MAX_LOGGED_COLD_TARGETS = 20;
+
 	/** Maximum number of skipped elements of one view that are logged. */
 	private static final int MAX_LOGGED_ELEMENTS = 5;
 
@@ -251,6 +254,7 @@
 		metrics.gauge("view_sequence", () -> this.view.sequence());
 		metrics.gauge("control_silent_millis", () -> leaderContactAgeMillis(System.nanoTime()));
 		metrics.gauge("targets", () -> this.view.targetCount());
+		metrics.gauge("targets_cold", () -> this.view.coldTargetCount(System.nanoTime()));
 		metrics.gauge("target_connections_opened", () -> this.view.connectionsOpened());
 		metrics.gauge("unfinished_answer_bytes", () -> this.view.unfinishedAnswerBytes());
 		metrics.gauge("request_body_bytes", () -> this.requestMemory.reservedBytes());
@@ -485,6 +489,7 @@
 		checkLag(now);
 		this.unacknowledgedBytes += update.estimatedBytes();
 		skipped(this.view.skipped());
+		logColdTargets(now);
 		skipped(receivedObservations(update, now));
 		if (update.full()) {
 			this.observations.leaderChanged();
@@ -496,6 +501,16 @@
 		resumeWaiting();
 	}
 
+	private void logColdTargets(long now) {
+		this.view.coldTargets()
+			.stream()
+			.limit(MAX_LOGGED_COLD_TARGETS)
+			.forEach((target) -> this.events.log(NodeEvent.TARGET_COLD, "target", target.name(), "born",
+					target.view().born(), "usable", target.view().usable(), "cold-left",
+					target.coldPeriod().leftMillis(now), "cold-source", target.coldPeriod().source(), "term",
+					this.view.term(), "view", this.view.sequence(), "cold-targets", this.view.coldTargets().size()));
+	}
+
 	private List<SkippedElement> receivedObservations(FleetView update, long now) {
 		List<SkippedElement> failed = new ArrayList<>();
 		update.observations().forEach((observation) -> {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.ThreadLocalRandom;
 
+import org.redwingramp.core.dispatch.ColdPeriod;
 import org.redwingramp.core.dispatch.SharedRateLimiter;
 import org.redwingramp.core.dispatch.TargetAvailability;
 import org.redwingramp.core.dispatch.TargetTracker;
@@ -31,9 +32,9 @@
 
 	private final TargetAvailability availability = new TargetAvailability();
 
-	private ViewTarget view;
+	private final ColdPeriod coldPeriod;
 
-	private long coldUntilNanos;
+	private ViewTarget view;
 
 	private long nextPermitNanos;
 
@@ -46,14 +47,17 @@
 	EntryTarget(ViewTarget view, TargetConnections connections, TargetTracker tracker, long now) {
 		this.connections = connections;
 		this.tracker = tracker;
-		this.coldUntilNanos = now;
+		this.coldPeriod = new ColdPeriod(now);
 		this.nextPermitNanos = now;
 		update(view, now);
 	}
 
-	void update(ViewTarget next, long now) {
+	// Returns whether the target was cold before or is cold now.
+	boolean update(ViewTarget next, long now) {
+		boolean wasCold = cold(now);
 		this.view = next;
-		this.coldUntilNanos = now + next.coldLeftMillis() * 1_000_000;
+		this.coldPeriod.stated(next.coldLeftMillis(), now);
+		return wasCold || cold(now);
 	}
 
 	ViewTarget view() {
@@ -77,11 +81,11 @@
 	}
 
 	boolean cold(long now) {
-		return now < this.coldUntilNanos;
+		return this.coldPeriod.cold(now);
 	}
 
-	void extendColdTime(long millis, long now) {
-		this.coldUntilNanos = Math.max(this.coldUntilNanos, now + millis * 1_000_000);
+	ColdPeriod coldPeriod() {
+		return this.coldPeriod;
 	}
 
 	// Returns whether one more request may be sent within this instance's share of the
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -1,6 +1,7 @@
 package org.redwingramp.node.entry;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -56,6 +57,8 @@
 
 	private List<SkippedElement> skipped = List.of();
 
+	private List<EntryTarget> coldTargets = List.of();
+
 	private Map<String, List<EntryTarget>> usableByService = Map.of();
 
 	private final Map<String, KeyOwners> keyOwners = new HashMap<>();
@@ -115,10 +118,14 @@
 		}
 		this.keyOwners.putAll(next.owners());
 		List<EntryTarget> removed = removeTargets(update, next);
+		List<EntryTarget> cold = new ArrayList<>();
 		next.targets().forEach((name, prepared) -> {
-			prepared.target().update(prepared.view(), now);
+			if (prepared.target().update(prepared.view(), now)) {
+				cold.add(prepared.target());
+			}
 			this.targets.put(name, prepared.target());
 		});
+		this.coldTargets = cold;
 		if (update.full() || !update.targets().isEmpty() || !update.removedTargets().isEmpty()) {
 			groupUsableTargets();
 		}
@@ -171,6 +178,15 @@
 		return this.skipped;
 	}
 
+	// Returns the targets of the last update that were cold before it or are cold now.
+	List<EntryTarget> coldTargets() {
+		return this.coldTargets;
+	}
+
+	long coldTargetCount(long now) {
+		return this.targets.values().stream().filter((target) -> target.cold(now)).count();
+	}
+
 	Iterable<EntryTarget> allTargets() {
 		return this.targets.values();
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import org.redwingramp.core.dispatch.ColdPeriod;
 import org.redwingramp.core.observation.Observation;
 import org.redwingramp.core.routing.RetryBudget;
 import org.redwingramp.core.traffic.Route;
@@ -104,6 +105,11 @@
 
 	private EntryTarget target;
 
+	// What was known of the cold period of the target when the request was sent to it.
+	private ColdPeriod.Source coldSource = ColdPeriod.Source.NONE;
+
+	private long coldAgeMillis = -1;
+
 	private TargetConnections.Call call;
 
 	private Timer deadlineTimer;
@@ -446,6 +452,8 @@
 		HttpRequest request = this.node.dialect().targetRequest(this.exchange.request(), candidate.name(), remaining);
 		candidate.tracker().sent();
 		this.target = candidate;
+		this.coldSource = candidate.coldPeriod().source();
+		this.coldAgeMillis = candidate.coldPeriod().ageMillis(now);
 		this.sentNanos = now;
 		this.attempts++;
 		this.sends++;
@@ -460,7 +468,7 @@
 		ResponseFields responseFields = this.node.dialect().responseFields(response.headers());
 		EntryTarget sender = endAttempt();
 		responseFields.load().ifPresent((load) -> sender.tracker().loadReported(load.running(), load.waiting(), now));
-		responseFields.coldLeftMillis().ifPresent((millis) -> sender.extendColdTime(millis, now));
+		responseFields.coldLeftMillis().ifPresent((millis) -> sender.coldPeriod().named(millis, now));
 		limitStated(sender, responseFields, now);
 		noticesStated(sender, response.status(), responseFields, now);
 		if (responseFields.notRun() || response.status() == MISDIRECTED_STATUS) {
@@ -756,8 +764,9 @@
 		this.node.events()
 			.log(event, "request", this.fields.id().orElse(""), name, value, "status", response.status(), "route",
 					(this.route != null) ? this.route.name() : "", "service", this.service, "key",
-					this.fields.key().orElse(-1), "target", (this.target != null) ? this.target.name() : "", "sends",
-					this.sends, "millis", (now - this.exchange.receivedNanos()) / MILLISECOND, "left",
+					this.fields.key().orElse(-1), "target", (this.target != null) ? this.target.name() : "",
+					"cold-source", this.coldSource, "cold-age", this.coldAgeMillis, "sends", this.sends, "millis",
+					(now - this.exchange.receivedNanos()) / MILLISECOND, "left",
 					(this.deadlineNanos - now) / MILLISECOND, "retry-after", retryAfterMillis, "config",
 					this.node.view().configVersion(), "view", this.node.view().sequence(), "control-age",
 					this.node.leaderContactAgeMillis(now));
--- a/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/events/NodeEvent.java
@@ -106,6 +106,9 @@
 	 */
 	CALL_RELAYED(7215, false),
 
+	/** A view concerned a target that was cold before it or is cold now. */
+	TARGET_COLD(7216, false),
+
 	/** This replica's role changed. */
 	ROLE_CHANGED(7301, false),
 
