Treat a target as cold until the new leader has heard of it

Cause: a new leader created the health of every target as that of a warm one, so its first view said that the remaining cold time was 0, and entry instances replaced what the former leader had stated. What wasn't known was sent like something known. An entry instance keeps what a leader stated of the same incarnation, since an assumption never replaces a statement; it takes the assumption where it knows nothing (it has just started, the target is new or started again, or it was out of service).

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
@@ -2,7 +2,8 @@
 
 /**
  * What is known of the time for which one incarnation of a target is cold, that is,
- * warming up: until when, by whose word, and since when. Reads no clock. Not thread safe.
+ * warming up: until when, by whose word, and since when. Invariant: an assumption never
+ * replaces a statement. Reads no clock. Not thread safe.
  */
 public final class ColdPeriod {
 
@@ -33,6 +34,23 @@
 		set(Source.STATED, leftMillis, now);
 	}
 
+	/**
+	 * Records the remaining time that the control leader assumes because it has received
+	 * no heartbeat of the target. What an earlier leader or the target stated stays.
+	 * @param leftMillis the time in milliseconds
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void assumed(long leftMillis, long now) {
+		if (this.source == Source.NONE || this.source == Source.ASSUMED) {
+			set(Source.ASSUMED, leftMillis, now);
+		}
+	}
+
+	/** Forgets what was known, so that the next assumption holds. */
+	public void forget() {
+		this.source = Source.NONE;
+	}
+
 	/**
 	 * Records the remaining time that the target itself names in a response. It doesn't
 	 * shorten the period, since responses arrive in another order than they were sent.
@@ -97,6 +115,9 @@
 		/** The control leader stated it in a view. */
 		STATED,
 
+		/** The control leader assumes it, since it has received no heartbeat. */
+		ASSUMED,
+
 		/** The target named it in a response. */
 		NAMED
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -583,7 +583,8 @@
 
 	private ViewTarget viewTarget(FleetTarget target, long now) {
 		return new ViewTarget(target.name(), target.service(), target.address(), target.domain(), target.slots(),
-				usable(target), health(target, now).coldLeftMillis(now), target.born());
+				usable(target), health(target, now).coldLeftMillis(now), target.born(),
+				health(target, now).coldAssumed());
 	}
 
 	/**
@@ -613,10 +614,11 @@
 	private void recordHeartbeat(TargetHeartbeat heartbeat, FleetTarget known, long now) {
 		TargetHealth health = health(known, now);
 		boolean wasCold = health.cold(now);
+		boolean wasAssumed = health.coldAssumed();
 		if (!health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now)) {
 			return;
 		}
-		if (wasCold != health.cold(now)) {
+		if (wasCold != health.cold(now) || wasAssumed) {
 			this.viewChanges++;
 			logColdPeriod(known, health, "heartbeat", now);
 		}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetView.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetView.java
@@ -76,9 +76,11 @@
 	 * milliseconds, 0 if it is warm
 	 * @param born identifies the incarnation of the target by its start time, 0 if it
 	 * isn't known
+	 * @param coldAssumed whether the leader assumes that the target is cold because it
+	 * has received no heartbeat of it; an earlier leader may have stated the truth
 	 */
 	public record ViewTarget(String name, String service, String address, String domain, int slots, boolean usable,
-			long coldLeftMillis, long born) {
+			long coldLeftMillis, long born, boolean coldAssumed) {
 	}
 
 	/**
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -18,6 +18,12 @@
 	 */
 	static final long LOST_AFTER_NANOS = 6_000_000_000L;
 
+	/**
+	 * Time for which a target counts as cold if this leader has received no heartbeat of
+	 * it. A target without one is lost by then, unless something else shows that it runs.
+	 */
+	static final long MAX_ASSUMED_COLD_NANOS = LOST_AFTER_NANOS;
+
 	/**
 	 * Maximum age of the last response that an entry instance reported of the target, for
 	 * it to be used as a relay of calls.
@@ -75,6 +81,9 @@
 
 	private long coldUntilNanos;
 
+	// Whether no heartbeat says yet until when the target is cold.
+	private boolean coldAssumed = true;
+
 	private long refusesUntilNanos;
 
 	private double slowness = 1;
@@ -95,7 +104,7 @@
 		this.lastHeartbeatNanos = now;
 		this.lastResponseNanos = now - LOST_AFTER_NANOS;
 		this.lastReplyNanos = now - LOST_AFTER_NANOS;
-		this.coldUntilNanos = now;
+		this.coldUntilNanos = now + MAX_ASSUMED_COLD_NANOS;
 		this.refusesUntilNanos = now;
 	}
 
@@ -122,6 +131,7 @@
 		this.lastSequence = sequence;
 		this.lastHeartbeatNanos = now;
 		this.coldUntilNanos = now + coldLeftNanos;
+		this.coldAssumed = false;
 		return true;
 	}
 
@@ -175,6 +185,12 @@
 		return now < this.coldUntilNanos;
 	}
 
+	// Returns whether the target counts as cold only because no heartbeat of it has been
+	// received by this leader.
+	boolean coldAssumed() {
+		return this.coldAssumed;
+	}
+
 	long coldLeftMillis(long now) {
 		return Math.max(0, (this.coldUntilNanos - now) / 1_000_000);
 	}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
@@ -471,7 +471,6 @@
 	 * leader takes it for a warm one until its next heartbeat.
 	 */
 	@Test
-	@Tag("known-red")
 	void shouldTreatAColdTargetAsColdAfterAChangeOfTheLeader() {
 		this.fleet.sendHeartbeat(new FleetTarget("t-9", 1, "s", "10.0.0.9:80", "d", 3, Stage.SERVING), 30_000);
 		this.fleet.advance(500);
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ViewFlowControlTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ViewFlowControlTests.java
@@ -108,14 +108,14 @@
 	}
 
 	private static ViewState cold(long sequence, long coldLeft, long now) {
-		return ViewState.of(sequence, 1, 1, List.of(new ViewTarget("t", "s", "h:1", "d", 1, true, coldLeft, 0)),
+		return ViewState.of(sequence, 1, 1, List.of(new ViewTarget("t", "s", "h:1", "d", 1, true, coldLeft, 0, false)),
 				Map.of(), List.of(), now);
 	}
 
 	// 200 targets with the same number of keys; one range is being moved.
 	private static ViewState state(long sequence, long config, int moving) {
 		List<ViewTarget> targets = IntStream.range(0, 200)
-			.mapToObj((i) -> new ViewTarget("t-" + i, "s", "10.0.0." + i + ":80", "d", 3, true, 0, 0))
+			.mapToObj((i) -> new ViewTarget("t-" + i, "s", "10.0.0." + i + ":80", "d", 3, true, 0, 0, false))
 			.toList();
 		List<ViewRange> ranges = IntStream.range(0, 256)
 			.mapToObj((i) -> new ViewRange(i * 256, i * 256 + 255, (i == moving % 256) ? "" : "t-" + i % 200))
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
@@ -49,14 +49,25 @@
 		this.tracker = tracker;
 		this.coldPeriod = new ColdPeriod(now);
 		this.nextPermitNanos = now;
+		this.view = view;
 		update(view, now);
 	}
 
 	// Returns whether the target was cold before or is cold now.
 	boolean update(ViewTarget next, long now) {
 		boolean wasCold = cold(now);
+		boolean returns = next.usable() && !this.view.usable();
 		this.view = next;
-		this.coldPeriod.stated(next.coldLeftMillis(), now);
+		if (!next.coldAssumed()) {
+			this.coldPeriod.stated(next.coldLeftMillis(), now);
+		}
+		else {
+			// While it got no requests, it may have become cold.
+			if (returns) {
+				this.coldPeriod.forget();
+			}
+			this.coldPeriod.assumed(next.coldLeftMillis(), now);
+		}
 		return wasCold || cold(now);
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/link/LinkWarmup.java
@@ -46,7 +46,7 @@
 	 */
 	public static FleetView sampleView() {
 		return new FleetView(1, 1, 0, 0, 1, Optional.of(new byte[1]),
-				List.of(new FleetView.ViewTarget("t", "s", "127.0.0.1:1", "d", 1, true, 0, 0)), List.of("u"),
+				List.of(new FleetView.ViewTarget("t", "s", "127.0.0.1:1", "d", 1, true, 0, 0, false)), List.of("u"),
 				Map.of("s", List.of(new FleetView.ViewRange(0, 1, "t"))), List.of(SAMPLE_LIMIT));
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/EntrySessionsTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/EntrySessionsTests.java
@@ -192,7 +192,7 @@
 			if (this.failing) {
 				throw new IllegalStateException("the state can't be built");
 			}
-			ViewTarget target = new ViewTarget("t", "s", "127.0.0.1:1", this.domain, 1, true, 0, 1);
+			ViewTarget target = new ViewTarget("t", "s", "127.0.0.1:1", this.domain, 1, true, 0, 1, false);
 			return ViewState.of(sequence, configVersion(), instances, List.of(target), Map.of(), List.of(), 0);
 		}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashDetectorTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashDetectorTests.java
@@ -56,7 +56,7 @@
 	}
 
 	private EntryTarget target(long born, int port) {
-		ViewTarget view = new ViewTarget("t-0", "s", "127.0.0.1:" + port, "d", 3, true, 0, born);
+		ViewTarget view = new ViewTarget("t-0", "s", "127.0.0.1:" + port, "d", 3, true, 0, born, false);
 		return new EntryTarget(view,
 				new TargetConnections(this.loops.loop(), new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
 						BodyMemoryLimit.forTargetResponses()),
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -139,7 +139,7 @@
 		this.sequence++;
 		List<ViewTarget> list = IntStream.range(0, addresses.size())
 			.mapToObj((i) -> new ViewTarget("t-" + i, service, addresses.get(i), "d", 3, true, this.coldLeftMillis,
-					this.born))
+					this.born, false))
 			.toList();
 		FleetView view = new FleetView(1, this.sequence, 0, 1, this.instances, Optional.of(new byte[] { 1 }), list,
 				List.of(), Map.of("s", List.of(new ViewRange(0, 65_535, owner))), List.of());
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -107,7 +108,7 @@
 	@ValueSource(strings = { "127.0.0.1:99999", "127.0.0.1", "host:80", "300.0.0.1:80", "" })
 	void shouldApplyAViewWithoutATargetWhoseAddressIsUnusable(String address) throws Exception {
 		FleetView next = new FleetView(6, 1, 0, 7, 1, Optional.empty(),
-				List.of(target("a"), new ViewTarget("odd", "s", address, "d", 3, true, 0, 0)), List.of(),
+				List.of(target("a"), new ViewTarget("odd", "s", address, "d", 3, true, 0, 0, false)), List.of(),
 				Map.of("s", List.of(new ViewRange(0, 65_535, "a"))), List.of());
 		assertThat(apply(next)).isEqualTo(Outcome.TAKEN);
 		assertThat(this.view.target("odd")).isEmpty();
@@ -124,7 +125,7 @@
 	@MethodSource("unusableElements")
 	void shouldApplyTheRestOfAViewAndLaterViewsAfterAnUnusableElement(ViewTarget target, ViewRange range)
 			throws Exception {
-		ViewTarget draining = new ViewTarget("b", "s", "127.0.0.1:1", "d", 3, false, 0, 0);
+		ViewTarget draining = new ViewTarget("b", "s", "127.0.0.1:1", "d", 3, false, 0, 0, false);
 		FleetView full = new FleetView(6, 1, 0, 8, 1, Optional.of(new byte[] { 8 }),
 				List.of(target, target("a"), draining), List.of(),
 				Map.of("odd", List.of(range), "s", List.of(range, new ViewRange(0, 99, "a"))), List.of());
@@ -147,7 +148,7 @@
 	 */
 	@Test
 	void shouldFollowTargetsAndOwnersAfterAnUnreadableConfiguration() throws Exception {
-		ViewTarget draining = new ViewTarget("b", "s", "127.0.0.1:1", "d", 3, false, 0, 0);
+		ViewTarget draining = new ViewTarget("b", "s", "127.0.0.1:1", "d", 3, false, 0, 0, false);
 		FleetView unreadable = new FleetView(5, 11, 10, 8, 1, Optional.of(TestDialect.UNREADABLE_DOCUMENT),
 				List.of(draining), List.of(), Map.of("s", List.of(new ViewRange(0, 99, "b"))), List.of());
 		assertThat(apply(unreadable)).isEqualTo(Outcome.TAKEN);
@@ -166,17 +167,57 @@
 	}
 
 	static Stream<Arguments> unusableElements() {
-		ViewTarget target = new ViewTarget("d", "s", "127.0.0.1:1", "d", 3, false, 0, 0);
+		ViewTarget target = new ViewTarget("d", "s", "127.0.0.1:1", "d", 3, false, 0, 0, false);
 		ViewRange range = new ViewRange(200, 300, "a");
-		return Stream.of(Arguments.of(new ViewTarget("odd", null, "127.0.0.1:1", "d", 3, true, 0, 0), range),
-				Arguments.of(new ViewTarget("odd", "s", null, "d", 3, true, 0, 0), range),
-				Arguments.of(new ViewTarget(null, "s", "127.0.0.1:1", "d", 3, true, 0, 0), range),
-				Arguments.of(new ViewTarget("odd", "s", "127.0.0.1:1", null, 3, true, 0, 0), range),
+		return Stream.of(Arguments.of(new ViewTarget("odd", null, "127.0.0.1:1", "d", 3, true, 0, 0, false), range),
+				Arguments.of(new ViewTarget("odd", "s", null, "d", 3, true, 0, 0, false), range),
+				Arguments.of(new ViewTarget(null, "s", "127.0.0.1:1", "d", 3, true, 0, 0, false), range),
+				Arguments.of(new ViewTarget("odd", "s", "127.0.0.1:1", null, 3, true, 0, 0, false), range),
 				Arguments.of(target, new ViewRange(300, 200, "a")), Arguments.of(target, new ViewRange(-9, -1, "a")),
 				Arguments.of(target, new ViewRange(200, 99_999, "a")),
 				Arguments.of(target, new ViewRange(200, 300, null)));
 	}
 
+	/**
+	 * Guards against a cold target that is flooded because a new leader, which has
+	 * received no heartbeat of it, replaces what the former one stated.
+	 */
+	@Test
+	void shouldKeepTheColdPeriodThatAFormerLeaderStated() throws Exception {
+		apply(viewOf(6, cold("a", 1, true, 3000, false), cold("b", 1, true, 0, false)));
+		apply(viewOf(7, cold("a", 1, true, 6000, true), cold("b", 1, true, 6000, true)));
+		assertThat(leftMillis("a")).isEqualTo(3000);
+		assertThat(leftMillis("b")).isZero();
+	}
+
+	/**
+	 * Guards against a target of which no leader has stated anything that counts as warm:
+	 * a new one, a new incarnation, and one that was out of service.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "c, 1, true", "a, 2, true", "a, 1, false" })
+	void shouldAssumeThatATargetIsColdOfWhichNothingIsKnown(String name, long born, boolean usable) throws Exception {
+		apply(viewOf(6, cold("a", 1, usable, 0, false)));
+		apply(viewOf(7, cold(name, born, true, 6000, true)));
+		assertThat(leftMillis(name)).isEqualTo(6000);
+		apply(viewOf(8, cold(name, born, true, 6000, true)));
+		assertThat(leftMillis(name)).isEqualTo(6000);
+		apply(viewOf(9, cold(name, born, true, 0, false)));
+		assertThat(leftMillis(name)).isZero();
+	}
+
+	private long leftMillis(String target) {
+		return this.view.target(target).orElseThrow().coldPeriod().leftMillis(0);
+	}
+
+	private static FleetView viewOf(long term, ViewTarget... targets) {
+		return new FleetView(term, 1, 0, 7, 1, Optional.empty(), List.of(targets), List.of(), Map.of(), List.of());
+	}
+
+	private static ViewTarget cold(String name, long born, boolean usable, long leftMillis, boolean assumed) {
+		return new ViewTarget(name, "s", "127.0.0.1:1", "d", 3, usable, leftMillis, born, assumed);
+	}
+
 	private Outcome apply(FleetView update) throws Exception {
 		return this.view.apply(update, 0);
 	}
@@ -193,7 +234,7 @@
 	}
 
 	private static ViewTarget target(String name) {
-		return new ViewTarget(name, "s", "127.0.0.1:1", "d", 3, true, 0, 0);
+		return new ViewTarget(name, "s", "127.0.0.1:1", "d", 3, true, 0, 0, false);
 	}
 
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/UnusableViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/UnusableViewTests.java
@@ -220,7 +220,7 @@
 	}
 
 	private static ViewTarget target(String name, String address, boolean usable) {
-		return new ViewTarget(name, "s", address, "d", 3, usable, 0, 1);
+		return new ViewTarget(name, "s", address, "d", 3, usable, 0, 1, false);
 	}
 
 }
