Keep targets of a returned domain cold until a heartbeat sent after it

Cause: the end of an evacuation makes the targets of the domain cold for the configured time, but the next heartbeat replaced that, also one that was sent before the end, while the target was still warm. A target gives up a call after a second, so a heartbeat that is received within a second of the end may be such a one. Change: within this second heartbeats only lengthen the cold period; the first later one says what holds. Warm targets are limited for 1 to 1.9 s instead of up to 0.9 s. Heartbeats that are late by more than a second and the newest ones of their target are still believed. FleetControllerTests.shouldTreatTargetsOfAReturnedDomainAsColdUntil- ALaterHeartbeat failed before (0 ms left instead of 2050) and passes; the test of a longer period passed before too.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -419,7 +419,8 @@
 
 	/**
 	 * Treats the targets of a failure domain as cold, because they have received no
-	 * requests while the domain was out of service.
+	 * requests while the domain was out of service. A heartbeat that may have been sent
+	 * before doesn't shorten the period.
 	 * @param domain the failure domain
 	 * @param coldMillis the duration of the cold period in milliseconds
 	 * @param now the monotonic time in nanoseconds
@@ -429,7 +430,7 @@
 			.stream()
 			.filter((target) -> target.domain().equals(domain) && this.healthByTarget.containsKey(target.name()))
 			.forEach((target) -> this.healthByTarget.get(target.name())
-				.extendColdPeriod(coldMillis * NANOS_PER_MILLI, now));
+				.domainReturned(coldMillis * NANOS_PER_MILLI, now));
 		this.output.decision("domain-cold", "domain", domain, "cold-left", coldMillis);
 		this.viewChanges++;
 	}
@@ -629,7 +630,7 @@
 
 	private void logColdPeriod(FleetTarget target, TargetHealth health, String cause, long now) {
 		this.output.decision("cold-period", "target", target.name(), "born", target.born(), "cause", cause, "cold-left",
-				health.coldLeftMillis(now));
+				health.coldLeftMillis(now), "may-precede-return", health.mayPrecedeReturn(now));
 	}
 
 	boolean addressTaken(FleetTarget target) {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -24,6 +24,12 @@
 	 */
 	static final long MAX_ASSUMED_COLD_NANOS = LOST_AFTER_NANOS;
 
+	/**
+	 * Maximum time from the sending of a heartbeat until it is received: targets give up
+	 * a call after one second.
+	 */
+	static final long MAX_HEARTBEAT_DELAY_NANOS = 1_000_000_000L;
+
 	/**
 	 * Maximum age of the last response that an entry instance reported of the target, for
 	 * it to be used as a relay of calls.
@@ -84,6 +90,9 @@
 	// Whether no heartbeat says yet until when the target is cold.
 	private boolean coldAssumed = true;
 
+	// When the failure domain of the target returned to service, if it did in this term.
+	private OptionalLong domainReturnedNanos = OptionalLong.empty();
+
 	private long refusesUntilNanos;
 
 	private double slowness = 1;
@@ -130,11 +139,19 @@
 		}
 		this.lastSequence = sequence;
 		this.lastHeartbeatNanos = now;
-		this.coldUntilNanos = now + coldLeftNanos;
+		long statedUntilNanos = now + coldLeftNanos;
+		this.coldUntilNanos = mayPrecedeReturn(now) ? Math.max(this.coldUntilNanos, statedUntilNanos)
+				: statedUntilNanos;
 		this.coldAssumed = false;
 		return true;
 	}
 
+	// Returns whether a heartbeat that is received now may have been sent before the
+	// failure domain returned to service, when the target wasn't cold yet.
+	boolean mayPrecedeReturn(long now) {
+		return this.domainReturnedNanos.stream().anyMatch((returned) -> now - returned < MAX_HEARTBEAT_DELAY_NANOS);
+	}
+
 	long lastHeartbeatNanos() {
 		return this.lastHeartbeatNanos;
 	}
@@ -149,8 +166,12 @@
 		return sequence == this.lastSequence;
 	}
 
-	void extendColdPeriod(long nanos, long now) {
-		this.coldUntilNanos = Math.max(this.coldUntilNanos, now + nanos);
+	// Records that the failure domain of the target has returned to service. The target
+	// may have become cold before, so entry instances have to forget what they knew.
+	void domainReturned(long coldNanos, long returnedNanos) {
+		this.coldUntilNanos = Math.max(this.coldUntilNanos, returnedNanos + coldNanos);
+		this.coldAssumed = false;
+		this.domainReturnedNanos = OptionalLong.of(returnedNanos);
 	}
 
 	void recordResponses(String entry, double expectedMillis, double elapsedMillis, long now) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -513,6 +513,34 @@
 		assertThat(this.fleet.owners()).contains("t-9");
 	}
 
+	/**
+	 * Guards against a cold target that is flooded when its failure domain returns to
+	 * service: a heartbeat that was sent before, while it was warm, is received
+	 * afterwards.
+	 */
+	@Test
+	void shouldTreatTargetsOfAReturnedDomainAsColdUntilALaterHeartbeat() {
+		this.fleet.join("t-long", 1, "10.0.0.9:80");
+		this.fleet.advance(500);
+		this.fleet.commit(new SetDomainOut("d-6", true));
+		this.fleet.advance(1000);
+		this.fleet.commit(new SetDomainOut("d-6", false));
+		this.fleet.controller.markDomainCold("d-6", 3000, this.fleet.now);
+		this.fleet.advance(950);
+		assertThat(coldLeftMillis("t-long")).isEqualTo(2050);
+		this.fleet.advance(550);
+		assertThat(coldLeftMillis("t-long")).isZero();
+	}
+
+	/** Guards against a target that is cold for longer than it was limited. */
+	@Test
+	void shouldFollowAHeartbeatAfterTheReturnOfItsDomainThatStatesALongerColdPeriod() {
+		this.fleet.join("t-long", 1, "10.0.0.9:80");
+		this.fleet.controller.markDomainCold("d-6", 3000, this.fleet.now);
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-long").orElseThrow(), 5000);
+		assertThat(coldLeftMillis("t-long")).isEqualTo(5000);
+	}
+
 	@Test
 	void shouldKeepTheOwnersWhenTheLeaderChanges() {
 		awaitInitialAssignment();
@@ -564,6 +592,15 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	private long coldLeftMillis(String target) {
+		return this.fleet.controller.viewTargets(this.fleet.now)
+			.stream()
+			.filter((entry) -> entry.name().equals(target))
+			.findAny()
+			.orElseThrow()
+			.coldLeftMillis();
+	}
+
 	private void awaitInitialAssignment() {
 		this.fleet.advance(3000);
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
