Tell entry instances when a cold target is cold for longer

Cause: a heartbeat raised the counter of view changes only if the target became cold or warm. If it was cold and became cold again, the later end reached entry instances with the next change of something else, if any. Change: the counter rises when the end of the cold period has moved by more than 250 ms since it last counted as moved, which is the tolerance of views; small moves add up. FleetControllerTests.shouldTellEntryInstancesOfALongerColdPeriod failed before, for one long move and for ten of 200 ms, and passes.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -619,7 +619,8 @@
 		if (!health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now)) {
 			return;
 		}
-		if (wasCold != health.cold(now) || wasAssumed) {
+		boolean endMoved = health.coldEndMoved(now);
+		if (endMoved || wasCold != health.cold(now) || wasAssumed) {
 			this.viewChanges++;
 			logColdPeriod(known, health, "heartbeat", now);
 		}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -60,6 +60,12 @@
 
 	private static final double INTERVAL_WEIGHT = 0.3;
 
+	/**
+	 * Maximum change of the end of a cold period that isn't told to entry instances. The
+	 * end varies slightly from heartbeat to heartbeat.
+	 */
+	private static final long COLD_TOLERANCE_NANOS = 250_000_000L;
+
 	private static final double MIN_SLOWNESS = 0.4;
 
 	private static final double MAX_SLOWNESS = 6;
@@ -87,6 +93,9 @@
 
 	private long coldUntilNanos;
 
+	// The end of the cold period when it last counted as moved.
+	private long notedColdUntilNanos;
+
 	// Whether no heartbeat says yet until when the target is cold.
 	private boolean coldAssumed = true;
 
@@ -114,6 +123,7 @@
 		this.lastResponseNanos = now - LOST_AFTER_NANOS;
 		this.lastReplyNanos = now - LOST_AFTER_NANOS;
 		this.coldUntilNanos = now + MAX_ASSUMED_COLD_NANOS;
+		this.notedColdUntilNanos = this.coldUntilNanos;
 		this.refusesUntilNanos = now;
 	}
 
@@ -206,6 +216,17 @@
 		return now < this.coldUntilNanos;
 	}
 
+	// Returns whether the end of the cold period has moved since this was last true, by
+	// more than it varies while the period is the same.
+	boolean coldEndMoved(long now) {
+		long moved = Math.max(this.coldUntilNanos, now) - Math.max(this.notedColdUntilNanos, now);
+		if (Math.abs(moved) <= COLD_TOLERANCE_NANOS) {
+			return false;
+		}
+		this.notedColdUntilNanos = this.coldUntilNanos;
+		return true;
+	}
+
 	// Returns whether the target counts as cold only because no heartbeat of it has been
 	// received by this leader.
 	boolean coldAssumed() {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -7,6 +7,8 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import org.redwingramp.core.fleet.EntryReport.KeyUse;
 import org.redwingramp.core.fleet.EntryReport.TargetUse;
@@ -541,6 +543,26 @@
 		assertThat(coldLeftMillis("t-long")).isEqualTo(5000);
 	}
 
+	/**
+	 * Guards against a target that is flooded because it became cold again, or for
+	 * longer, and entry instances aren't told of the later end.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 2500", "10, 200" })
+	void shouldTellEntryInstancesOfALongerColdPeriod(int heartbeats, int longerMillis) {
+		FleetTarget cold = new FleetTarget("t-9", 1, "s", "10.0.0.9:80", "d", 3, Stage.SERVING);
+		this.fleet.sendHeartbeat(cold, 1100);
+		this.fleet.now += 100 * FakeFleet.MS;
+		this.fleet.sendHeartbeat(cold, 1000);
+		long before = this.fleet.controller.viewChanges();
+		this.fleet.now += 500 * FakeFleet.MS;
+		this.fleet.sendHeartbeat(cold, 500);
+		assertThat(this.fleet.controller.viewChanges()).isEqualTo(before);
+		IntStream.rangeClosed(1, heartbeats)
+			.forEach((i) -> this.fleet.sendHeartbeat(cold, 500 + (long) i * longerMillis));
+		assertThat(this.fleet.controller.viewChanges()).isGreaterThan(before);
+	}
+
 	@Test
 	void shouldKeepTheOwnersWhenTheLeaderChanges() {
 		awaitInitialAssignment();
