Assign keys to their owners' peers before a new leader has heard of them

Cause: since a new leader assumes that targets are cold, it assigned no keys until heartbeats had found it, which takes up to 2 s for targets whose heartbeat address was the former leader. Keys that were free meanwhile had no owner, and the first target that was heard got all of them. Change: a target that owns keys was known as warm by the leader that assigned them, so it may receive more while its cold period is only assumed. One without keys (started a short time ago) waits until it is heard. The log says which owners were chosen so. FleetControllerTests.shouldAssignKeysToTargetsThatOwnSomeBeforeANewLeader- HasHeardOfThem failed before (a part of the keys without an owner a second after a target drained) and passes.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -765,9 +765,9 @@
 		});
 		this.planner.assign(sortedByFirstKey(unassigned), bins, loadOf(service, now))
 			.forEach((assignment) -> moves.add(new Move(assignment.keys(), assignment.owner())));
-		moves
-			.forEach((move) -> this.output.decision("assign", "service", service, "keys", format(move.keys()), "target",
-					move.owner().target(), "slowness", this.healthByTarget.get(move.owner().target()).slowness()));
+		moves.forEach((move) -> this.output.decision("assign", "service", service, "keys", format(move.keys()),
+				"target", move.owner().target(), "slowness", this.healthByTarget.get(move.owner().target()).slowness(),
+				"cold-assumed", this.healthByTarget.get(move.owner().target()).coldAssumed()));
 		proposeIfNotPending(new AssignKeys(service, moves));
 	}
 
@@ -903,10 +903,16 @@
 
 	private boolean mayReceiveKeys(FleetTarget target, long now) {
 		TargetHealth health = health(target, now);
-		return mayKeepKeys(target) && !health.cold(now) && !health.refusesKeys(now)
+		return mayKeepKeys(target) && (!health.cold(now) || wasWarm(target, health)) && !health.refusesKeys(now)
 				&& delivery(target.service()).reachable(health, now) && !health.lost(now);
 	}
 
+	// Returns whether a target that is only assumed to be cold was warm at an earlier
+	// leader, since it owns keys, which are assigned to warm targets only.
+	private boolean wasWarm(FleetTarget target, TargetHealth health) {
+		return health.coldAssumed() && !this.state.keys(target.service()).rangesOf(target.owner()).isEmpty();
+	}
+
 	private boolean usable(FleetTarget target) {
 		return target.stage().usable() && !this.state.domainsOut().contains(target.domain());
 	}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
@@ -41,6 +41,9 @@
 
 	final Set<String> partitionedFromControl = new HashSet<>();
 
+	/** Targets whose heartbeats don't reach the leader, while calls to them do. */
+	final Set<String> silent = new HashSet<>();
+
 	/** Targets whose next grant gets no reply and is applied later. */
 	final Set<String> delayNextGrant = new HashSet<>();
 
@@ -223,6 +226,7 @@
 				this.state.targets()
 					.stream()
 					.filter((target) -> !this.unresponsive.contains(target.name())
+							&& !this.silent.contains(target.name())
 							&& !this.partitionedFromControl.contains(target.name()) && target.stage() != Stage.LEFT)
 					.toList()
 					.forEach((target) -> sendHeartbeat(target,
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -563,6 +564,22 @@
 		assertThat(this.fleet.controller.viewChanges()).isGreaterThan(before);
 	}
 
+	/**
+	 * Guards against keys that wait for an owner after a change of the leader until the
+	 * targets' heartbeats have found it, and against keys for a target that is cold.
+	 */
+	@Test
+	void shouldAssignKeysToTargetsThatOwnSomeBeforeANewLeaderHasHeardOfThem() {
+		awaitInitialAssignment();
+		this.fleet.sendHeartbeat(new FleetTarget("t-9", 1, "s", "10.0.0.9:80", "d", 3, Stage.SERVING), 3000);
+		this.fleet.startLeadership();
+		this.fleet.silent.addAll(Set.of("t-0", "t-2", "t-3", "t-9"));
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-1").orElseThrow().with(Stage.DRAINING), 0);
+		this.fleet.advance(1000);
+		assertThat(this.fleet.owners()).containsExactlyInAnyOrder("t-0", "t-2", "t-3");
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
 	@Test
 	void shouldKeepTheOwnersWhenTheLeaderChanges() {
 		awaitInitialAssignment();
