Bound the permits that a leader reserves for later

Cause: a leader reserved permits for as long in advance as requests may wait. Its successor doesn't know them and grants its own at the full rate, so both together came to 2.1 times the rate of a cold target (1.5 times plus 5 is allowed). An entry instance that stood still sends all that became due meanwhile at once. Change: at most 3 permits plus those of 0.1 s are reserved ahead. With 11 a second that is 0.37 s, about as long as requests of today's deployments may wait; requests with a longer objective are refused earlier. RateReservationsTests.shouldKeepThePermitsOfALeaderAndItsSuccessorWithin- TheBoundOfAColdTarget failed before with 11, 40 and 200 a second (23, 81 and 402 permits in a second) and passes. With 2 a second it passed before. The other tests of limits, leases and views in core that were run pass.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/RateReservations.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/RateReservations.java
@@ -8,7 +8,9 @@
  * among entry instances, one permit a request. A permit may be reserved for a later time.
  * Invariants: the permits of a target that become usable in any span are at most its rate
  * times the span plus the capacity of its bucket; a new bucket is empty, so that a new
- * leader doesn't repeat the burst of the former one. Reads no clock. Not thread safe.
+ * leader doesn't repeat the burst of the former one; the number of permits that are
+ * reserved for later is bounded, since a new leader doesn't know of them and grants its
+ * own beside them. Reads no clock. Not thread safe.
  */
 public final class RateReservations {
 
@@ -17,6 +19,16 @@
 	/** Capacity of a bucket in seconds of its rate; at least one permit. */
 	private static final double CAPACITY_SECONDS = 0.25;
 
+	/**
+	 * Maximum number of permits that are reserved for later: a fixed number and a part of
+	 * those of a second. With the permits of the next leader, the capacity of a bucket
+	 * and replies that are late by 0.15 s, a target gets at most 1.5 times its rate plus
+	 * 4 in a second.
+	 */
+	private static final double MAX_RESERVED = 3;
+
+	private static final double MAX_RESERVED_SECONDS = 0.1;
+
 	/**
 	 * Rate at which requests are sent to a target that accepts fewer or none. Only a
 	 * response shows that the limit has ended.
@@ -79,7 +91,8 @@
 			this.permits = Math.min(capacity, this.permits + refill);
 			this.refilledNanos = now;
 			long delay = (long) Math.max(0, (1 - this.permits) / perSecond * NANOS_PER_SECOND);
-			boolean granted = delay <= maxDelayNanos;
+			double reserved = Math.max(0, 1 - this.permits);
+			boolean granted = delay <= maxDelayNanos && reserved <= MAX_RESERVED + MAX_RESERVED_SECONDS * perSecond;
 			if (granted) {
 				this.permits--;
 			}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/RateReservationsTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/RateReservationsTests.java
@@ -1,8 +1,12 @@
 package org.redwingramp.core.dispatch;
 
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.redwingramp.core.dispatch.RateReservations.Reservation;
 
@@ -76,6 +80,34 @@
 		assertThat(afterwards).isBetween(9L, 11L);
 	}
 
+	// Guards against a cold target that is flooded by the permits of two leaders: those
+	// that the former one reserved for later, and those of its successor.
+	@ParameterizedTest
+	@ValueSource(ints = { 2, 11, 40, 200 })
+	void shouldKeepThePermitsOfALeaderAndItsSuccessorWithinTheBoundOfAColdTarget(int perSecond) {
+		TreeMap<Long, Integer> usable = new TreeMap<>();
+		reserveAll(this.reservations, perSecond, 0, 3 * SECOND, usable);
+		reserveAll(new RateReservations(), perSecond, 3 * SECOND, 6 * SECOND, usable);
+		int most = usable.keySet()
+			.stream()
+			.mapToInt((time) -> usable.subMap(time, time + SECOND).values().stream().mapToInt(Integer::intValue).sum())
+			.max()
+			.orElseThrow();
+		assertThat((double) most).isBetween(perSecond * 1.0, perSecond * 1.5 + 5);
+	}
+
+	// Asks for more permits than there are, each of which may become usable late, and
+	// counts them by the time from which they are usable.
+	private static void reserveAll(RateReservations leader, int perSecond, long from, long end,
+			Map<Long, Integer> usable) {
+		for (long now = from; now < end; now += SECOND / 400) {
+			Reservation reservation = leader.reserve("t", perSecond, 5 * SECOND, now);
+			if (reservation.granted()) {
+				usable.merge(now + reservation.delayNanos(), 1, Integer::sum);
+			}
+		}
+	}
+
 	// Guards against targets of one service that share a rate by mistake.
 	@Test
 	void shouldKeepTargetsApart() {
