--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -419,7 +419,8 @@
 
 	/**
 	 * Treats the targets of a failure domain as cold, because they have received no
-	 * requests while the domain was out of service.
+	 * requests while the domain was out of service. A heartbeat that may have been sent
+	 * before doesn't shorten the period.
 	 * @param domain the failure domain
 	 * @param coldMillis the duration of the cold period in milliseconds
 	 * @param now the monotonic time in nanoseconds
@@ -429,7 +430,7 @@
 			.stream()
 			.filter((target) -> target.domain().equals(domain) && this.healthByTarget.containsKey(target.name()))
 			.forEach((target) -> this.healthByTarget.get(target.name())
-				.extendColdPeriod(coldMillis * NANOS_PER_MILLI, now));
+				.domainReturned(coldMillis * NANOS_PER_MILLI, now));
 		this.output.decision("domain-cold", "domain", domain, "cold-left", coldMillis);
 		this.viewChanges++;
 	}
@@ -618,7 +619,8 @@
 		if (!health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now)) {
 			return;
 		}
-		if (wasCold != health.cold(now) || wasAssumed) {
+		boolean endMoved = health.coldEndMoved(now);
+		if (endMoved || wasCold != health.cold(now) || wasAssumed) {
 			this.viewChanges++;
 			logColdPeriod(known, health, "heartbeat", now);
 		}
@@ -629,7 +631,7 @@
 
 	private void logColdPeriod(FleetTarget target, TargetHealth health, String cause, long now) {
 		this.output.decision("cold-period", "target", target.name(), "born", target.born(), "cause", cause, "cold-left",
-				health.coldLeftMillis(now));
+				health.coldLeftMillis(now), "may-precede-return", health.mayPrecedeReturn(now));
 	}
 
 	boolean addressTaken(FleetTarget target) {
@@ -763,9 +765,9 @@
 		});
 		this.planner.assign(sortedByFirstKey(unassigned), bins, loadOf(service, now))
 			.forEach((assignment) -> moves.add(new Move(assignment.keys(), assignment.owner())));
-		moves
-			.forEach((move) -> this.output.decision("assign", "service", service, "keys", format(move.keys()), "target",
-					move.owner().target(), "slowness", this.healthByTarget.get(move.owner().target()).slowness()));
+		moves.forEach((move) -> this.output.decision("assign", "service", service, "keys", format(move.keys()),
+				"target", move.owner().target(), "slowness", this.healthByTarget.get(move.owner().target()).slowness(),
+				"cold-assumed", this.healthByTarget.get(move.owner().target()).coldAssumed()));
 		proposeIfNotPending(new AssignKeys(service, moves));
 	}
 
@@ -901,10 +903,16 @@
 
 	private boolean mayReceiveKeys(FleetTarget target, long now) {
 		TargetHealth health = health(target, now);
-		return mayKeepKeys(target) && !health.cold(now) && !health.refusesKeys(now)
+		return mayKeepKeys(target) && (!health.cold(now) || wasWarm(target, health)) && !health.refusesKeys(now)
 				&& delivery(target.service()).reachable(health, now) && !health.lost(now);
 	}
 
+	// Returns whether a target that is only assumed to be cold was warm at an earlier
+	// leader, since it owns keys, which are assigned to warm targets only.
+	private boolean wasWarm(FleetTarget target, TargetHealth health) {
+		return health.coldAssumed() && !this.state.keys(target.service()).rangesOf(target.owner()).isEmpty();
+	}
+
 	private boolean usable(FleetTarget target) {
 		return target.stage().usable() && !this.state.domainsOut().contains(target.domain());
 	}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -24,6 +24,12 @@
 	 */
 	static final long MAX_ASSUMED_COLD_NANOS = LOST_AFTER_NANOS;
 
+	/**
+	 * Maximum time from the sending of a heartbeat until it is received: targets give up
+	 * a call after one second.
+	 */
+	static final long MAX_HEARTBEAT_DELAY_NANOS = 1_000_000_000L;
+
 	/**
 	 * Maximum age of the last response that an entry instance reported of the target, for
 	 * it to be used as a relay of calls.
@@ -54,6 +60,12 @@
 
 	private static final double INTERVAL_WEIGHT = 0.3;
 
+	/**
+	 * Maximum change of the end of a cold period that isn't told to entry instances. The
+	 * end varies slightly from heartbeat to heartbeat.
+	 */
+	private static final long COLD_TOLERANCE_NANOS = 250_000_000L;
+
 	private static final double MIN_SLOWNESS = 0.4;
 
 	private static final double MAX_SLOWNESS = 6;
@@ -81,9 +93,15 @@
 
 	private long coldUntilNanos;
 
+	// The end of the cold period when it last counted as moved.
+	private long notedColdUntilNanos;
+
 	// Whether no heartbeat says yet until when the target is cold.
 	private boolean coldAssumed = true;
 
+	// When the failure domain of the target returned to service, if it did in this term.
+	private OptionalLong domainReturnedNanos = OptionalLong.empty();
+
 	private long refusesUntilNanos;
 
 	private double slowness = 1;
@@ -105,6 +123,7 @@
 		this.lastResponseNanos = now - LOST_AFTER_NANOS;
 		this.lastReplyNanos = now - LOST_AFTER_NANOS;
 		this.coldUntilNanos = now + MAX_ASSUMED_COLD_NANOS;
+		this.notedColdUntilNanos = this.coldUntilNanos;
 		this.refusesUntilNanos = now;
 	}
 
@@ -130,11 +149,19 @@
 		}
 		this.lastSequence = sequence;
 		this.lastHeartbeatNanos = now;
-		this.coldUntilNanos = now + coldLeftNanos;
+		long statedUntilNanos = now + coldLeftNanos;
+		this.coldUntilNanos = mayPrecedeReturn(now) ? Math.max(this.coldUntilNanos, statedUntilNanos)
+				: statedUntilNanos;
 		this.coldAssumed = false;
 		return true;
 	}
 
+	// Returns whether a heartbeat that is received now may have been sent before the
+	// failure domain returned to service, when the target wasn't cold yet.
+	boolean mayPrecedeReturn(long now) {
+		return this.domainReturnedNanos.stream().anyMatch((returned) -> now - returned < MAX_HEARTBEAT_DELAY_NANOS);
+	}
+
 	long lastHeartbeatNanos() {
 		return this.lastHeartbeatNanos;
 	}
@@ -149,8 +176,12 @@
 		return sequence == this.lastSequence;
 	}
 
-	void extendColdPeriod(long nanos, long now) {
-		this.coldUntilNanos = Math.max(this.coldUntilNanos, now + nanos);
+	// Records that the failure domain of the target has returned to service. The target
+	// may have become cold before, so entry instances have to forget what they knew.
+	void domainReturned(long coldNanos, long returnedNanos) {
+		this.coldUntilNanos = Math.max(this.coldUntilNanos, returnedNanos + coldNanos);
+		this.coldAssumed = false;
+		this.domainReturnedNanos = OptionalLong.of(returnedNanos);
 	}
 
 	void recordResponses(String entry, double expectedMillis, double elapsedMillis, long now) {
@@ -185,6 +216,17 @@
 		return now < this.coldUntilNanos;
 	}
 
+	// Returns whether the end of the cold period has moved since this was last true, by
+	// more than it varies while the period is the same.
+	boolean coldEndMoved(long now) {
+		long moved = Math.max(this.coldUntilNanos, now) - Math.max(this.notedColdUntilNanos, now);
+		if (Math.abs(moved) <= COLD_TOLERANCE_NANOS) {
+			return false;
+		}
+		this.notedColdUntilNanos = this.coldUntilNanos;
+		return true;
+	}
+
 	// Returns whether the target counts as cold only because no heartbeat of it has been
 	// received by this leader.
 	boolean coldAssumed() {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -2,11 +2,14 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import org.redwingramp.core.fleet.EntryReport.KeyUse;
 import org.redwingramp.core.fleet.EntryReport.TargetUse;
@@ -513,6 +516,70 @@
 		assertThat(this.fleet.owners()).contains("t-9");
 	}
 
+	/**
+	 * Guards against a cold target that is flooded when its failure domain returns to
+	 * service: a heartbeat that was sent before, while it was warm, is received
+	 * afterwards.
+	 */
+	@Test
+	void shouldTreatTargetsOfAReturnedDomainAsColdUntilALaterHeartbeat() {
+		this.fleet.join("t-long", 1, "10.0.0.9:80");
+		this.fleet.advance(500);
+		this.fleet.commit(new SetDomainOut("d-6", true));
+		this.fleet.advance(1000);
+		this.fleet.commit(new SetDomainOut("d-6", false));
+		this.fleet.controller.markDomainCold("d-6", 3000, this.fleet.now);
+		this.fleet.advance(950);
+		assertThat(coldLeftMillis("t-long")).isEqualTo(2050);
+		this.fleet.advance(550);
+		assertThat(coldLeftMillis("t-long")).isZero();
+	}
+
+	/** Guards against a target that is cold for longer than it was limited. */
+	@Test
+	void shouldFollowAHeartbeatAfterTheReturnOfItsDomainThatStatesALongerColdPeriod() {
+		this.fleet.join("t-long", 1, "10.0.0.9:80");
+		this.fleet.controller.markDomainCold("d-6", 3000, this.fleet.now);
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-long").orElseThrow(), 5000);
+		assertThat(coldLeftMillis("t-long")).isEqualTo(5000);
+	}
+
+	/**
+	 * Guards against a target that is flooded because it became cold again, or for
+	 * longer, and entry instances aren't told of the later end.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 2500", "10, 200" })
+	void shouldTellEntryInstancesOfALongerColdPeriod(int heartbeats, int longerMillis) {
+		FleetTarget cold = new FleetTarget("t-9", 1, "s", "10.0.0.9:80", "d", 3, Stage.SERVING);
+		this.fleet.sendHeartbeat(cold, 1100);
+		this.fleet.now += 100 * FakeFleet.MS;
+		this.fleet.sendHeartbeat(cold, 1000);
+		long before = this.fleet.controller.viewChanges();
+		this.fleet.now += 500 * FakeFleet.MS;
+		this.fleet.sendHeartbeat(cold, 500);
+		assertThat(this.fleet.controller.viewChanges()).isEqualTo(before);
+		IntStream.rangeClosed(1, heartbeats)
+			.forEach((i) -> this.fleet.sendHeartbeat(cold, 500 + (long) i * longerMillis));
+		assertThat(this.fleet.controller.viewChanges()).isGreaterThan(before);
+	}
+
+	/**
+	 * Guards against keys that wait for an owner after a change of the leader until the
+	 * targets' heartbeats have found it, and against keys for a target that is cold.
+	 */
+	@Test
+	void shouldAssignKeysToTargetsThatOwnSomeBeforeANewLeaderHasHeardOfThem() {
+		awaitInitialAssignment();
+		this.fleet.sendHeartbeat(new FleetTarget("t-9", 1, "s", "10.0.0.9:80", "d", 3, Stage.SERVING), 3000);
+		this.fleet.startLeadership();
+		this.fleet.silent.addAll(Set.of("t-0", "t-2", "t-3", "t-9"));
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-1").orElseThrow().with(Stage.DRAINING), 0);
+		this.fleet.advance(1000);
+		assertThat(this.fleet.owners()).containsExactlyInAnyOrder("t-0", "t-2", "t-3");
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
 	@Test
 	void shouldKeepTheOwnersWhenTheLeaderChanges() {
 		awaitInitialAssignment();
@@ -564,6 +631,15 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	private long coldLeftMillis(String target) {
+		return this.fleet.controller.viewTargets(this.fleet.now)
+			.stream()
+			.filter((entry) -> entry.name().equals(target))
+			.findAny()
+			.orElseThrow()
+			.coldLeftMillis();
+	}
+
 	private void awaitInitialAssignment() {
 		this.fleet.advance(3000);
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
