Let a new leader know which domains have just returned to service

Cause: the end of an evacuation was known only to the leader that executed it. Its successor believed the first heartbeat, which may have been sent before the end, and told entry instances that missed the whole evacuation nothing. Change: every replica follows the committed commands, so each remembers when it saw a domain return (DomainReturns), and a new leader applies that as the former one did while a cold period lasts. Commands that were stored when the process started are left out: they may be old, and warm targets would be limited after a restart of all replicas. Nothing changes in what is stored or sent.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -423,15 +423,18 @@
 	 * before doesn't shorten the period.
 	 * @param domain the failure domain
 	 * @param coldMillis the duration of the cold period in milliseconds
+	 * @param returnedNanos when the domain returned to service, at the earliest, as
+	 * monotonic time in nanoseconds
 	 * @param now the monotonic time in nanoseconds
 	 */
-	public void markDomainCold(String domain, long coldMillis, long now) {
+	public void domainReturned(String domain, long coldMillis, long returnedNanos, long now) {
 		this.state.targets()
 			.stream()
 			.filter((target) -> target.domain().equals(domain) && this.healthByTarget.containsKey(target.name()))
 			.forEach((target) -> this.healthByTarget.get(target.name())
-				.domainReturned(coldMillis * NANOS_PER_MILLI, now));
-		this.output.decision("domain-cold", "domain", domain, "cold-left", coldMillis);
+				.domainReturned(coldMillis * NANOS_PER_MILLI, returnedNanos));
+		this.output.decision("domain-cold", "domain", domain, "cold-millis", coldMillis, "returned-millis",
+				(now - returnedNanos) / NANOS_PER_MILLI);
 		this.viewChanges++;
 	}
 
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
@@ -33,6 +33,9 @@
 
 	static final long MS = 1_000_000;
 
+	/** The duration of cold periods after the return of a failure domain. */
+	static final long COLD_MILLIS = 3000;
+
 	private static final long HOLD_NANOS = LeaseTiming.DEFAULT.grantDurationNanos() * 102 / 100;
 
 	final FleetState state = new FleetState(FleetSnapshot.EMPTY);
@@ -97,6 +100,8 @@
 
 	FleetController controller;
 
+	private final DomainReturns domainReturns = new DomainReturns();
+
 	long now = 100_000 * MS;
 
 	int grants;
@@ -131,6 +136,7 @@
 		this.heldCommands.clear();
 		this.controller = new FleetController(this.state, this, LeaseTiming.DEFAULT, this.now);
 		configure(this.mode);
+		this.domainReturns.passTo(this.controller, COLD_MILLIS, this.now);
 	}
 
 	// Switches the way in which targets are granted keys.
@@ -203,6 +209,7 @@
 		}
 		this.state.apply(command);
 		this.controller.commandApplied(command, this.now);
+		this.domainReturns.applied(command, this.now);
 	}
 
 	// The new incarnation knows nothing of before. It may get what was sent within the
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -528,18 +528,39 @@
 		this.fleet.commit(new SetDomainOut("d-6", true));
 		this.fleet.advance(1000);
 		this.fleet.commit(new SetDomainOut("d-6", false));
-		this.fleet.controller.markDomainCold("d-6", 3000, this.fleet.now);
+		this.fleet.controller.domainReturned("d-6", FakeFleet.COLD_MILLIS, this.fleet.now, this.fleet.now);
 		this.fleet.advance(950);
 		assertThat(coldLeftMillis("t-long")).isEqualTo(2050);
 		this.fleet.advance(550);
 		assertThat(coldLeftMillis("t-long")).isZero();
 	}
 
+	/**
+	 * Guards against a cold target that is flooded when its failure domain returns to
+	 * service, because a new leader knows of the return as little as the heartbeat that
+	 * it gets first, and against targets that are limited for long.
+	 */
+	@Test
+	void shouldKnowAsANewLeaderThatADomainHasJustReturned() {
+		this.fleet.join("t-long", 1, "10.0.0.9:80");
+		this.fleet.commit(new SetDomainOut("d-6", true));
+		this.fleet.commit(new SetDomainOut("d-6", false));
+		this.fleet.startLeadership();
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-long").orElseThrow(), 0);
+		assertThat(coldLeftMillis("t-long")).isGreaterThanOrEqualTo(FakeFleet.COLD_MILLIS);
+		this.fleet.advance(1500);
+		assertThat(coldLeftMillis("t-long")).isZero();
+		this.fleet.advance(FakeFleet.COLD_MILLIS);
+		this.fleet.startLeadership();
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-long").orElseThrow(), 0);
+		assertThat(coldLeftMillis("t-long")).isZero();
+	}
+
 	/** Guards against a target that is cold for longer than it was limited. */
 	@Test
 	void shouldFollowAHeartbeatAfterTheReturnOfItsDomainThatStatesALongerColdPeriod() {
 		this.fleet.join("t-long", 1, "10.0.0.9:80");
-		this.fleet.controller.markDomainCold("d-6", 3000, this.fleet.now);
+		this.fleet.controller.domainReturned("d-6", FakeFleet.COLD_MILLIS, this.fleet.now, this.fleet.now);
 		this.fleet.sendHeartbeat(this.fleet.state.target("t-long").orElseThrow(), 5000);
 		assertThat(coldLeftMillis("t-long")).isEqualTo(5000);
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -17,6 +17,7 @@
 
 import org.redwingramp.core.consensus.Replicas;
 import org.redwingramp.core.dispatch.RateReservations.Reservation;
+import org.redwingramp.core.fleet.DomainReturns;
 import org.redwingramp.core.fleet.FleetCommand;
 import org.redwingramp.core.fleet.FleetController;
 import org.redwingramp.core.fleet.FleetOutput;
@@ -129,6 +130,8 @@
 
 	private final Set<String> failureDomains;
 
+	private final DomainReturns domainReturns = new DomainReturns();
+
 	private Optional<FleetController> controller = Optional.empty();
 
 	// The calls of the present or last leadership.
@@ -326,6 +329,7 @@
 		long formerGrantsLeftMillis = this.controller.get().lastLeaseLeftMillis(now);
 		this.controller.get().failureDomains(this.failureDomains);
 		loadConfig();
+		this.domainReturns.passTo(this.controller.get(), coldMillis(), now);
 		// Entry instances refuse all requests until they have a view, so it is sent
 		// before the controller's first round.
 		this.entries.startLeading(this.controllerTerm);
@@ -450,10 +454,13 @@
 			// Assignments of keys are logged by the controller, which decides on them.
 			this.events.log(NodeEvent.COMMITTED, "command", command.getClass().getSimpleName(), "details", command);
 		}
+		if (!this.replica.appliesStored()) {
+			this.domainReturns.applied(command, now);
+		}
 		this.controller.ifPresent((activeController) -> {
 			activeController.commandApplied(command, now);
 			if (command instanceof FleetCommand.SetDomainOut change && !change.out()) {
-				activeController.markDomainCold(change.domain(), coldMillis(), now);
+				activeController.domainReturned(change.domain(), coldMillis(), now, now);
 			}
 		});
 	}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ReplicaHost.java
@@ -26,6 +26,7 @@
 import org.redwingramp.core.consensus.Replicas;
 import org.redwingramp.core.consensus.Role;
 import org.redwingramp.core.consensus.Snapshot;
+import org.redwingramp.core.consensus.StoredState;
 import org.redwingramp.core.fleet.FleetCommand;
 import org.redwingramp.core.fleet.FleetResult;
 import org.redwingramp.core.fleet.FleetSnapshot;
@@ -119,6 +120,13 @@
 
 	private long appliedIndex;
 
+	private long appliedTerm;
+
+	// The last entry that was stored when this process started.
+	private final long storedIndex;
+
+	private final long storedTerm;
+
 	private Optional<String> reportedLeader = Optional.empty();
 
 	private long reportedLeaderNanos;
@@ -146,7 +154,11 @@
 		this.startedNanos = settings.startedNanos();
 		this.store = store;
 		List<String> founders = isFounder(settings) ? settings.seeds() : List.of();
-		this.replica = Replicas.createOpen(this.store.load(), founders, settings.voters(), TIMING, new SecureRandom());
+		StoredState stored = this.store.load();
+		Optional<LogEntry> last = stored.entries().stream().reduce((former, latter) -> latter);
+		this.storedIndex = last.map(LogEntry::index).orElse(0L);
+		this.storedTerm = last.map(LogEntry::term).orElse(0L);
+		this.replica = Replicas.createOpen(stored, founders, settings.voters(), TIMING, new SecureRandom());
 		this.peers = new PeerLinks(loop, settings, this::hello, this::received, events);
 	}
 
@@ -210,6 +222,12 @@
 		return this.peers.replicaNames();
 	}
 
+	// Returns whether the entry that is being applied was stored when this process
+	// started, so that it may have been committed long ago.
+	boolean appliesStored() {
+		return this.appliedIndex <= this.storedIndex && this.appliedTerm <= this.storedTerm;
+	}
+
 	// Returns whether this replica leads and has applied all committed entries to its
 	// state.
 	boolean upToDate() {
@@ -408,6 +426,7 @@
 			return;
 		}
 		this.appliedIndex = entry.index();
+		this.appliedTerm = entry.term();
 		this.compaction.applied(entry);
 		if (entry.kind() == LogEntry.Kind.MEMBERSHIP) {
 			this.replica.membership().ifPresent((group) -> group.all().forEach((id) -> this.peers.addPeer(id.name())));
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
@@ -44,6 +44,14 @@
 	/** The end of a configuration whose service has keys. */
 	static final String SHARDED = "sharded";
 
+	/** The end of a configuration whose service has a long cold period. */
+	static final String COLD = "cold";
+
+	static final long COLD_MILLIS = 60_000;
+
+	private static final ServiceSpec COLD_SERVICE = new ServiceSpec("s", "/", 1, false, COLD_MILLIS, 1, 0,
+			GrantMode.CALL);
+
 	private static final ServiceSpec SHARDED_SERVICE = new ServiceSpec("s", "/", 1, true, 0, 0, 0, GrantMode.CALL);
 
 	/** The header of a grant or release that bears its fence. */
@@ -110,6 +118,7 @@
 				new ControlRequest.ReplaceConfig(Long.parseLong(words[1]), Long.parseLong(words[2]), request.body());
 			case "read" -> new ControlRequest.ReadConfig();
 			case "out" -> new ControlRequest.SetDomainOut(words[1], true);
+			case "in" -> new ControlRequest.SetDomainOut(words[1], false);
 			case "heartbeat" -> new ControlRequest.Heartbeat(new TargetHeartbeat(new FleetTarget(words[1], 1, "s",
 					"127.0.0.1:" + ((words.length > 2) ? words[2] : "1"), "d", 1, FleetTarget.Stage.SERVING), 0,
 					System.nanoTime(), KeyReport.EMPTY));
@@ -133,7 +142,7 @@
 		if (text.endsWith("fails-once-committed") && this.failingTexts.putIfAbsent(text, true) != null) {
 			throw new IllegalStateException("the configuration is read for the second time");
 		}
-		ServiceSpec service = text.endsWith(SHARDED) ? SHARDED_SERVICE : SERVICE;
+		ServiceSpec service = text.endsWith(SHARDED) ? SHARDED_SERVICE : text.endsWith(COLD) ? COLD_SERVICE : SERVICE;
 		return new TrafficConfig(1, List.of(), List.of(service), CallerLimits.DEFAULT);
 	}
 
