Ask a target that may have started again for how long it is cold

Once an entry instance has evidence of its own of a possible restart, the target counts as cold: a connection couldn't be established, a connection broke and a new one was refused, or the target ended an idle connection that it had promised to keep.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import org.redwingramp.core.dispatch.TargetTracker;
@@ -55,6 +56,9 @@
 
 	private final Map<String, WeightedRoundRobin> roundRobins = new HashMap<>();
 
+	private Consumer<EntryTarget> idleEndedListener = (target) -> {
+	};
+
 	private List<SkippedElement> skipped = List.of();
 
 	private List<EntryTarget> coldTargets = List.of();
@@ -102,8 +106,15 @@
 	}
 
 	private EntryTarget create(ViewTarget target, InetSocketAddress address, long now) {
-		return new EntryTarget(target, new TargetConnections(this.loop, address, this.responseMemory),
+		EntryTarget created = new EntryTarget(target, new TargetConnections(this.loop, address, this.responseMemory),
 				new TargetTracker(target.slots(), INITIAL_SERVICE_MILLIS, now), now);
+		created.connections().onIdleEnded(() -> this.idleEndedListener.accept(created));
+		return created;
+	}
+
+	// Sets who is told that a target ended an idle connection.
+	void onIdleEnded(Consumer<EntryTarget> listener) {
+		this.idleEndedListener = listener;
 	}
 
 	private void commit(FleetView update, ViewPreparation next, long now) {
