Keep what a target named of its cold period over an older statement

A statement no longer shortens what the target named less than 6 s ago; a longer one and a later one hold.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
@@ -10,6 +10,12 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	/**
+	 * Age of a heartbeat up to which a leader may still state what it says. A target that
+	 * isn't heard of for longer is lost.
+	 */
+	private static final long MAX_HEARTBEAT_AGE_NANOS = 6_000_000_000L;
+
 	private Source source = Source.NONE;
 
 	private long untilNanos;
@@ -28,12 +34,15 @@
 	/**
 	 * Records the remaining time that the control leader states. It replaces what was
 	 * known before, unless the target may have started again since the leader heard of
-	 * it.
+	 * it. It doesn't shorten what the target has named since then, since the heartbeat on
+	 * which the statement rests may be older.
 	 * @param leftMillis the time in milliseconds, 0 if the target is warm
 	 * @param now the monotonic time in nanoseconds
 	 */
 	public void stated(long leftMillis, long now) {
-		if (this.source != Source.SUSPECTED) {
+		boolean older = this.source == Source.NAMED && now - this.sinceNanos < MAX_HEARTBEAT_AGE_NANOS
+				&& now + leftMillis * NANOS_PER_MILLI - this.untilNanos < 0;
+		if (this.source != Source.SUSPECTED && !older) {
 			set(Source.STATED, leftMillis, now);
 		}
 	}
