Ask for another permit if the target has become slower meanwhile

Whether the target is still the same incarnation and the owner of the key was checked again, the rate was not. A request whose permit was for a higher rate than the present one asks again. TargetRateLimitTests.shouldAskAgainIfTheTargetBecomesColdBeforeThePermitIs- Usable failed before and passes.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/PermitDecision.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/PermitDecision.java
@@ -34,7 +34,7 @@
 	public void granted() {
 		log("granted");
 		this.candidate.rateSharedByLeader(0, System.nanoTime());
-		this.execution.sendPermitted(this.candidate);
+		this.execution.sendPermitted(this.candidate, this.rate);
 	}
 
 	@Override
@@ -53,7 +53,7 @@
 		if (this.candidate.tryAcquireShare(this.rate.perSecond(), this.node.view().limitSharingInstances(),
 				System.nanoTime())) {
 			log("share");
-			this.execution.sendPermitted(this.candidate);
+			this.execution.sendPermitted(this.candidate, this.rate);
 		}
 		else {
 			refuse("no-share", RETRY_AFTER_WITHOUT_LEADER_MILLIS);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -417,17 +417,19 @@
 					&& accepts(target, now) && rate(target, now).isEmpty());
 	}
 
-	// Sends the request unless its key has another owner by now.
-	void sendPermitted(EntryTarget candidate) {
-		guarded(() -> sendIfStillOwner(candidate));
+	// Sends the request unless its key has another owner by now, or the target accepts
+	// fewer requests by now than when the permit was asked for.
+	void sendPermitted(EntryTarget candidate, TargetRate permitted) {
+		guarded(() -> sendIfStillPermitted(candidate, permitted));
 	}
 
-	private void sendIfStillOwner(EntryTarget candidate) {
+	private void sendIfStillPermitted(EntryTarget candidate, TargetRate permitted) {
 		this.permit = null;
 		long now = System.nanoTime();
 		boolean stillOwner = !this.sharded
 				|| this.node.view().owner(this.service, this.fields.key().orElseThrow()).equals(candidate.name());
 		if (stillOwner && current(candidate) && candidate.view().usable() && accepts(candidate, now)
+				&& rate(candidate, now).filter(permitted::exceeds).isEmpty()
 				&& remainingMillis(now) >= MIN_ATTEMPT_MILLIS && quarantineLeftMillis(now).isEmpty()
 				&& !processStopsBefore(now)) {
 			send(candidate, now);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/TargetRate.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/TargetRate.java
@@ -27,6 +27,11 @@
 			.of(new TargetRate(Math.min(limit, cold), stated, (cold < limit) ? Refusal.COLD : Refusal.RATE_LIMITED));
 	}
 
+	// Returns whether this rate is higher than the other one.
+	boolean exceeds(TargetRate other) {
+		return this.perSecond > other.perSecond;
+	}
+
 	Optional<Observation> statedToSend(long now) {
 		return this.stated.map((observed) -> observed.toSend(now));
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -77,6 +77,12 @@
 	// How the simulated leader answers questions for permits; it doesn't answer if empty.
 	volatile Optional<Boolean> grantsPermits = Optional.empty();
 
+	// When granted permits become usable.
+	volatile long permitDelayMillis;
+
+	// The rates for which the entry instance asked for permits.
+	final BlockingQueue<Double> permitRates = new LinkedBlockingQueue<>();
+
 	volatile int instances = 1;
 
 	volatile long coldLeftMillis;
@@ -264,8 +270,9 @@
 			this.relayReplies.add(reply.reply());
 		}
 		else if (message instanceof LinkMessage.PermitRequest request) {
-			this.grantsPermits.ifPresent((granted) -> link
-				.send(new LinkMessage.PermitReply(request.number(), granted, granted ? 0 : REFUSED_DELAY_MILLIS)));
+			this.permitRates.add(request.perSecond());
+			this.grantsPermits.ifPresent((granted) -> link.send(new LinkMessage.PermitReply(request.number(), granted,
+					granted ? this.permitDelayMillis : REFUSED_DELAY_MILLIS)));
 		}
 		else if (message instanceof LinkMessage.Report report) {
 			this.observations.addAll(report.report().observations());
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
@@ -34,6 +34,8 @@
 
 	private static final double LIMIT_PER_SECOND = 2;
 
+	private static final double FAST_PER_SECOND = 200;
+
 	/** Requests within four seconds that break the platform's rule if exceeded. */
 	private static final int ALLOWED = (int) (1.5 * 4 * LIMIT_PER_SECOND) + 5;
 
@@ -178,6 +180,27 @@
 		}
 	}
 
+	// Guards against permits for a later time that are all used at a target that has
+	// become cold meanwhile.
+	@Test
+	void shouldAskAgainIfTheTargetBecomesColdBeforeThePermitIsUsable() throws Exception {
+		String fast = LIMITED.replace("Limit: " + LIMIT_PER_SECOND, "Limit: " + FAST_PER_SECOND);
+		try (ScriptedTarget target = new ScriptedTarget(fast, fast)) {
+			this.entry.grantsPermits = Optional.of(true);
+			this.entry.sendView("t-0", target);
+			assertThat(this.entry.call("/lookup/a", "1")).startsWith("HTTP/1.1 200");
+			this.entry.permitDelayMillis = 150;
+			Future<String> response = this.callers.submit(() -> this.entry.call("/lookup/a", "1"));
+			assertThat(this.entry.permitRates.poll(3, TimeUnit.SECONDS)).isEqualTo(FAST_PER_SECOND);
+			this.entry.grantsPermits = Optional.of(false);
+			this.entry.coldLeftMillis = 60_000;
+			this.entry.sendView("t-0", target);
+			assertThat(response.get()).startsWith("HTTP/1.1 503");
+			assertThat(this.entry.permitRates).containsExactly(TestDialect.COLD_PER_SECOND);
+			assertThat(target.requests).hasSize(1);
+		}
+	}
+
 	private List<String> callAtIntervals(long millis) throws Exception {
 		List<CompletableFuture<String>> responses = IntStream.range(0, CALLS)
 			.mapToObj((i) -> CompletableFuture.supplyAsync(() -> lookUp(i, i * millis), this.callers))
