Share limits among the instances that the former leader counted

A new leader that has started with the others knows few of them. If it is lost again, each of 88 instances takes a tenth: 48 requests a second at a target that accepts 11. A lower number now replaces that of the former term only 12 s after the first view of the new one, for as long as a leader counts instances that it has lost. The shares of additional retries use the same number. EntryViewTests.shouldShareLimitsAmongTheInstancesOfTheFormerLeaderAtFirst failed before and passes. On deployments of 10 instances or fewer nothing changes, since at least 10 shares are assumed.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -43,6 +43,12 @@
 	 */
 	private static final int MIN_LIMIT_SHARING_INSTANCES = 10;
 
+	/**
+	 * Time after its first view for which a leader may not have heard of all entry
+	 * instances, since those that have lost their links are counted for as long.
+	 */
+	private static final long COUNTING_NANOS = 12_000_000_000L;
+
 	/** The service time assumed for a target before its first response. */
 	private static final double INITIAL_SERVICE_MILLIS = 100;
 
@@ -77,6 +83,11 @@
 
 	private int instances;
 
+	// As stated in the previous term.
+	private int formerInstances;
+
+	private long termBeganNanos;
+
 	private long term;
 
 	private long sequence;
@@ -141,13 +152,22 @@
 			groupUsableTargets();
 		}
 		this.skipped = List.copyOf(next.skipped());
-		this.instances = update.instances();
+		countInstances(update, now);
 		this.newestConfigVersion = update.configVersion();
 		this.term = update.term();
 		this.sequence = update.sequence();
 		removed.forEach((target) -> target.connections().closeIdle());
 	}
 
+	private void countInstances(FleetView update, long now) {
+		if (update.term() != this.term) {
+			this.formerInstances = this.instances;
+			this.termBeganNanos = now;
+		}
+		boolean counting = now - this.termBeganNanos < COUNTING_NANOS;
+		this.instances = counting ? Math.max(update.instances(), this.formerInstances) : update.instances();
+	}
+
 	private List<EntryTarget> removeTargets(FleetView update, ViewPreparation next) {
 		Set<String> names = new HashSet<>(update.removedTargets());
 		names.addAll(next.unusableTargets());
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
@@ -30,6 +30,8 @@
  */
 class EntryViewTests {
 
+	private static final long SECOND = 1_000_000_000L;
+
 	private EntryView view;
 
 	@BeforeEach
@@ -206,6 +208,28 @@
 		assertThat(leftMillis(name)).isZero();
 	}
 
+	/**
+	 * Guards against a limit that too few instances share: a leader that has just begun
+	 * knows only those that have contacted it, and may be lost again.
+	 */
+	@Test
+	void shouldShareLimitsAmongTheInstancesOfTheFormerLeaderAtFirst() throws Exception {
+		this.view.apply(sharedBy(6, 1, 88), 0);
+		this.view.apply(sharedBy(7, 1, 12), SECOND);
+		assertThat(this.view.limitSharingInstances()).isEqualTo(88);
+		this.view.apply(sharedBy(7, 2, 30), 2 * SECOND);
+		assertThat(this.view.limitSharingInstances()).isEqualTo(88);
+		this.view.apply(sharedBy(8, 1, 90), 3 * SECOND);
+		assertThat(this.view.limitSharingInstances()).isEqualTo(90);
+		this.view.apply(sharedBy(8, 2, 40), 20 * SECOND);
+		assertThat(this.view.limitSharingInstances()).isEqualTo(40);
+	}
+
+	private static FleetView sharedBy(long term, long sequence, int instances) {
+		return new FleetView(term, sequence, 0, 7, instances, Optional.empty(), List.of(), List.of(), Map.of(),
+				List.of());
+	}
+
 	private long leftMillis(String target) {
 		return this.view.target(target).orElseThrow().coldPeriod().leftMillis(0);
 	}
