Don't rely on what was stated before a long time without a leader

A target may have become cold in that time without that anyone knows. After 6 s of silence a statement no longer counts against an assumption: a leader doesn't rely on a target either that it hasn't heard of for 6 s. Shorter gaps, as at each change of the leader, change nothing, so warm targets aren't limited then. EntryViewTests.shouldNotRelyOnAStatementAfterALongTimeWithoutALeader failed before and passes.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -362,6 +362,7 @@
 	@Override
 	public void leaderHeard(Link link) {
 		long now = System.nanoTime();
+		this.view.leaderHeard(this.control.leaderContactAgeNanos(now));
 		if (link == this.currentViewLink) {
 			this.lag.ended(LagReason.VIEW_MISSING);
 		}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -49,6 +49,12 @@
 	 */
 	private static final long COUNTING_NANOS = 12_000_000_000L;
 
+	/**
+	 * Time without a leader after which what it stated of cold targets isn't relied on. A
+	 * leader doesn't rely on a target any more that it hasn't heard of for as long.
+	 */
+	private static final long MAX_SILENCE_NANOS = 6_000_000_000L;
+
 	/** The service time assumed for a target before its first response. */
 	private static final double INITIAL_SERVICE_MILLIS = 100;
 
@@ -168,6 +174,14 @@
 		this.instances = counting ? Math.max(update.instances(), this.formerInstances) : update.instances();
 	}
 
+	// Called when a leader is heard after a time without one. A target may have become
+	// cold in a long time, which a new leader may not know yet.
+	void leaderHeard(long silentNanos) {
+		if (silentNanos > MAX_SILENCE_NANOS) {
+			this.targets.values().forEach((target) -> target.coldPeriod().forget());
+		}
+	}
+
 	private List<EntryTarget> removeTargets(FleetView update, ViewPreparation next) {
 		Set<String> names = new HashSet<>(update.removedTargets());
 		names.addAll(next.unusableTargets());
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
@@ -208,6 +208,19 @@
 		assertThat(leftMillis(name)).isZero();
 	}
 
+	/**
+	 * Guards against a target that became cold while this instance heard no leader for
+	 * long, and is taken for warm by what was stated before.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "1, 0", "60, 6000" })
+	void shouldNotRelyOnAStatementAfterALongTimeWithoutALeader(long silentSeconds, long leftMillis) throws Exception {
+		apply(viewOf(6, cold("a", 1, true, 0, false)));
+		this.view.leaderHeard(silentSeconds * 1_000_000_000);
+		apply(viewOf(7, cold("a", 1, true, 6000, true)));
+		assertThat(leftMillis("a")).isEqualTo(leftMillis);
+	}
+
 	/**
 	 * Guards against a limit that too few instances share: a leader that has just begun
 	 * knows only those that have contacted it, and may be lost again.
