--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import org.redwingramp.core.dispatch.TargetTracker;
@@ -42,6 +43,18 @@
 	 */
 	private static final int MIN_LIMIT_SHARING_INSTANCES = 10;
 
+	/**
+	 * Time after its first view for which a leader may not have heard of all entry
+	 * instances, since those that have lost their links are counted for as long.
+	 */
+	private static final long COUNTING_NANOS = 12_000_000_000L;
+
+	/**
+	 * Time without a leader after which what it stated of cold targets isn't relied on. A
+	 * leader doesn't rely on a target any more that it hasn't heard of for as long.
+	 */
+	private static final long MAX_SILENCE_NANOS = 6_000_000_000L;
+
 	/** The service time assumed for a target before its first response. */
 	private static final double INITIAL_SERVICE_MILLIS = 100;
 
@@ -55,6 +68,9 @@
 
 	private final Map<String, WeightedRoundRobin> roundRobins = new HashMap<>();
 
+	private Consumer<EntryTarget> idleEndedListener = (target) -> {
+	};
+
 	private List<SkippedElement> skipped = List.of();
 
 	private List<EntryTarget> coldTargets = List.of();
@@ -73,6 +89,11 @@
 
 	private int instances;
 
+	// As stated in the previous term.
+	private int formerInstances;
+
+	private long termBeganNanos;
+
 	private long term;
 
 	private long sequence;
@@ -102,8 +123,15 @@
 	}
 
 	private EntryTarget create(ViewTarget target, InetSocketAddress address, long now) {
-		return new EntryTarget(target, new TargetConnections(this.loop, address, this.responseMemory),
+		EntryTarget created = new EntryTarget(target, new TargetConnections(this.loop, address, this.responseMemory),
 				new TargetTracker(target.slots(), INITIAL_SERVICE_MILLIS, now), now);
+		created.connections().onIdleEnded(() -> this.idleEndedListener.accept(created));
+		return created;
+	}
+
+	// Sets who is told that a target ended an idle connection.
+	void onIdleEnded(Consumer<EntryTarget> listener) {
+		this.idleEndedListener = listener;
 	}
 
 	private void commit(FleetView update, ViewPreparation next, long now) {
@@ -130,13 +158,30 @@
 			groupUsableTargets();
 		}
 		this.skipped = List.copyOf(next.skipped());
-		this.instances = update.instances();
+		countInstances(update, now);
 		this.newestConfigVersion = update.configVersion();
 		this.term = update.term();
 		this.sequence = update.sequence();
 		removed.forEach((target) -> target.connections().closeIdle());
 	}
 
+	private void countInstances(FleetView update, long now) {
+		if (update.term() != this.term) {
+			this.formerInstances = this.instances;
+			this.termBeganNanos = now;
+		}
+		boolean counting = now - this.termBeganNanos < COUNTING_NANOS;
+		this.instances = counting ? Math.max(update.instances(), this.formerInstances) : update.instances();
+	}
+
+	// Called when a leader is heard after a time without one. A target may have become
+	// cold in a long time, which a new leader may not know yet.
+	void leaderHeard(long silentNanos) {
+		if (silentNanos > MAX_SILENCE_NANOS) {
+			this.targets.values().forEach((target) -> target.coldPeriod().forget());
+		}
+	}
+
 	private List<EntryTarget> removeTargets(FleetView update, ViewPreparation next) {
 		Set<String> names = new HashSet<>(update.removedTargets());
 		names.addAll(next.unusableTargets());
