Let the cold period decide what a view means for it

Cause: the entry instance's target decided whether a view's cold time is taken, assumed or forgotten, where tests of core can't use it. Change: ColdPeriod.viewed decides it; behaviour is the same. The two methods that it uses are private now.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
@@ -25,22 +25,31 @@
 	}
 
 	/**
-	 * Records the remaining time that the control leader states. It replaces what was
-	 * known before.
-	 * @param leftMillis the time in milliseconds, 0 if the target is warm
+	 * Records what a view of the control leader contains of the incarnation.
+	 * @param leftMillis the remaining time in milliseconds, 0 if the target is warm
+	 * @param assumed whether the leader assumes it because it has received no heartbeat
+	 * @param returns whether the target returns to service with this view
 	 * @param now the monotonic time in nanoseconds
 	 */
-	public void stated(long leftMillis, long now) {
+	public void viewed(long leftMillis, boolean assumed, boolean returns, long now) {
+		if (!assumed) {
+			stated(leftMillis, now);
+			return;
+		}
+		// While it got no requests, it may have become cold.
+		if (returns) {
+			forget();
+		}
+		assumed(leftMillis, now);
+	}
+
+	// Replaces what was known before.
+	private void stated(long leftMillis, long now) {
 		set(Source.STATED, leftMillis, now);
 	}
 
-	/**
-	 * Records the remaining time that the control leader assumes because it has received
-	 * no heartbeat of the target. What an earlier leader or the target stated stays.
-	 * @param leftMillis the time in milliseconds
-	 * @param now the monotonic time in nanoseconds
-	 */
-	public void assumed(long leftMillis, long now) {
+	// What an earlier leader or the target stated stays.
+	private void assumed(long leftMillis, long now) {
 		if (this.source == Source.NONE || this.source == Source.ASSUMED) {
 			set(Source.ASSUMED, leftMillis, now);
 		}
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
@@ -58,16 +58,7 @@
 		boolean wasCold = cold(now);
 		boolean returns = next.usable() && !this.view.usable();
 		this.view = next;
-		if (!next.coldAssumed()) {
-			this.coldPeriod.stated(next.coldLeftMillis(), now);
-		}
-		else {
-			// While it got no requests, it may have become cold.
-			if (returns) {
-				this.coldPeriod.forget();
-			}
-			this.coldPeriod.assumed(next.coldLeftMillis(), now);
-		}
+		this.coldPeriod.viewed(next.coldLeftMillis(), next.coldAssumed(), returns, now);
 		return wasCold || cold(now);
 	}
 
