Tell entry instances of a new incarnation before it is committed

Cause: the first heartbeat of a target that starts again under its name changed what the leader knows of its cold period, but the view was sent only once the record of the incarnation was committed. With a slow commit, or none since the leader loses its majority, entry instances went on sending as to the warm former incarnation. Change: the heartbeat counts as a change of the view, so that entry instances get the cold period of the name at once and the incarnation later.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -213,6 +213,8 @@
 			health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now);
 			this.healthByTarget.put(target.name(), health);
 			logColdPeriod(target, health, "joined", now);
+			// Entry instances may know the former incarnation as a warm target.
+			this.viewChanges++;
 			return this.targets.record(target);
 		}
 		recordHeartbeat(heartbeat, known.get(), now);
