Tell entry instances of each later end of a cold period

Cause: an end that moved by up to 250 ms wasn't told. A target that becomes cold again while it is cold got the full load for that time. Change: a later end is told from 20 ms on, an earlier one from 250 ms on as before; views and the counter of their changes use the same comparison.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -60,16 +60,12 @@
 
 	private static final double INTERVAL_WEIGHT = 0.3;
 
-	/**
-	 * Maximum change of the end of a cold period that isn't told to entry instances. The
-	 * end varies slightly from heartbeat to heartbeat.
-	 */
-	private static final long COLD_TOLERANCE_NANOS = 250_000_000L;
-
 	private static final double MIN_SLOWNESS = 0.4;
 
 	private static final double MAX_SLOWNESS = 6;
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private final long born;
 
 	// When this leader first heard of the incarnation; empty if an earlier leader did.
@@ -219,8 +215,8 @@
 	// Returns whether the end of the cold period has moved since this was last true, by
 	// more than it varies while the period is the same.
 	boolean coldEndMoved(long now) {
-		long moved = Math.max(this.coldUntilNanos, now) - Math.max(this.notedColdUntilNanos, now);
-		if (Math.abs(moved) <= COLD_TOLERANCE_NANOS) {
+		long formerMillis = Math.max(this.notedColdUntilNanos, now) / NANOS_PER_MILLI;
+		if (!ViewState.coldEndDiffers(formerMillis, Math.max(this.coldUntilNanos, now) / NANOS_PER_MILLI)) {
 			return false;
 		}
 		this.notedColdUntilNanos = this.coldUntilNanos;
@@ -234,7 +230,7 @@
 	}
 
 	long coldLeftMillis(long now) {
-		return Math.max(0, (this.coldUntilNanos - now) / 1_000_000);
+		return Math.max(0, (this.coldUntilNanos - now) / NANOS_PER_MILLI);
 	}
 
 	// Returns the average ratio of the elapsed to the expected time of requests.
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/ViewState.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/ViewState.java
@@ -23,11 +23,17 @@
 	public static final ViewState EMPTY = new ViewState(0, 0, 0, Map.of(), Map.of(), Set.of());
 
 	/**
-	 * Maximum change in the end of a cold period that doesn't require a view. The end is
-	 * computed from the remaining time that a target reports with each heartbeat, so that
-	 * it varies slightly although the cold period is the same.
+	 * Maximum time by which a cold period may end earlier than stated without a view. The
+	 * end is computed from the remaining time that a target reports with each heartbeat,
+	 * so that it varies slightly although the cold period is the same.
 	 */
-	private static final long COLD_TOLERANCE_MILLIS = 250;
+	private static final long EARLIER_END_TOLERANCE_MILLIS = 250;
+
+	/**
+	 * The same for a later end. Short, since entry instances send without a limit in this
+	 * time.
+	 */
+	private static final long LATER_END_TOLERANCE_MILLIS = 20;
 
 	private final long sequence;
 
@@ -71,6 +77,13 @@
 		return new ViewState(sequence, configVersion, instances, targetStates, owners, Set.copyOf(observations));
 	}
 
+	// Returns whether the end of a cold period has changed by more than it varies while
+	// the period is the same.
+	static boolean coldEndDiffers(long formerMillis, long nextMillis) {
+		return nextMillis - formerMillis > LATER_END_TOLERANCE_MILLIS
+				|| formerMillis - nextMillis > EARLIER_END_TOLERANCE_MILLIS;
+	}
+
 	/**
 	 * Returns the sequence number of the state.
 	 * @return the sequence number
@@ -163,7 +176,7 @@
 
 		boolean differs(TargetState former) {
 			return former == null || !withoutColdTime().equals(former.withoutColdTime())
-					|| Math.abs(this.coldUntilMillis - former.coldUntilMillis) > COLD_TOLERANCE_MILLIS;
+					|| coldEndDiffers(former.coldUntilMillis, this.coldUntilMillis);
 		}
 
 		private ViewTarget withoutColdTime() {
