Keep a stated cold period if a later leader shortens it

Cause: within a term, the leader ignores heartbeats that were sent before the latest one. A new leader doesn't know that one, so a heartbeat that was held up made it state that a target was warm which its predecessor had stated as cold, and entry instances believed it. Change: a statement of another term never shortens a cold period that a leader stated; it ends by itself. A statement of the same term replaces it as before. Targets of a domain that returned just before the change of the leader may be limited for the whole configured time instead of until they are heard.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
@@ -2,8 +2,9 @@
 
 /**
  * What is known of the time for which one incarnation of a target is cold, that is,
- * warming up: until when, by whose word, and since when. Invariant: an assumption never
- * replaces a statement. Reads no clock. Not thread safe.
+ * warming up: until when, by whose word, and since when. Invariants: an assumption never
+ * replaces a statement; a leader never shortens what an earlier one stated. Reads no
+ * clock. Not thread safe.
  */
 public final class ColdPeriod {
 
@@ -15,6 +16,9 @@
 
 	private long sinceNanos;
 
+	// The term of the leader that stated the period.
+	private long term;
+
 	/**
 	 * Creates a cold period of which nothing is known; the target counts as warm.
 	 * @param now the monotonic time in nanoseconds
@@ -29,11 +33,12 @@
 	 * @param leftMillis the remaining time in milliseconds, 0 if the target is warm
 	 * @param assumed whether the leader assumes it because it has received no heartbeat
 	 * @param returns whether the target returns to service with this view
+	 * @param viewTerm the term of the leader
 	 * @param now the monotonic time in nanoseconds
 	 */
-	public void viewed(long leftMillis, boolean assumed, boolean returns, long now) {
+	public void viewed(long leftMillis, boolean assumed, boolean returns, long viewTerm, long now) {
 		if (!assumed) {
-			stated(leftMillis, now);
+			stated(leftMillis, viewTerm, now);
 			return;
 		}
 		// While it got no requests, it may have become cold.
@@ -43,8 +48,14 @@
 		assumed(leftMillis, now);
 	}
 
-	// Replaces what was known before.
-	private void stated(long leftMillis, long now) {
+	// Within a term, the leader knows which heartbeat is the latest. A later leader may
+	// have received one that was sent before those that the earlier one received.
+	private void stated(long leftMillis, long viewTerm, long now) {
+		boolean shortens = now + leftMillis * NANOS_PER_MILLI - this.untilNanos < 0;
+		if (this.source == Source.STATED && this.term != viewTerm && cold(now) && shortens) {
+			return;
+		}
+		this.term = viewTerm;
 		set(Source.STATED, leftMillis, now);
 	}
 
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdEntry.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdEntry.java
@@ -175,7 +175,7 @@
 		}
 		update.targets().forEach((target) -> {
 			removed.remove(target.name());
-			this.targets.compute(target.name(), (name, present) -> updated(present, target));
+			this.targets.compute(target.name(), (name, present) -> updated(present, target, update.term()));
 		});
 		this.targets.keySet().removeAll(removed);
 		this.instances = update.instances();
@@ -184,12 +184,12 @@
 		return true;
 	}
 
-	private Known updated(Known present, ViewTarget next) {
+	private Known updated(Known present, ViewTarget next, long viewTerm) {
 		Known target = (present != null && present.view.born() == next.born()
 				&& present.view.address().equals(next.address())) ? present : new Known(next, now());
 		boolean returns = next.usable() && !target.view.usable();
 		target.view = next;
-		target.coldPeriod.viewed(next.coldLeftMillis(), next.coldAssumed(), returns, now());
+		target.coldPeriod.viewed(next.coldLeftMillis(), next.coldAssumed(), returns, viewTerm, now());
 		this.fleet.trace(() -> "entry " + this.number + ": view of " + next + ", now "
 				+ target.coldPeriod.leftMillis(now()) + " " + target.coldPeriod.source());
 		return target;
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
@@ -50,15 +50,14 @@
 		this.coldPeriod = new ColdPeriod(now);
 		this.nextPermitNanos = now;
 		this.view = view;
-		update(view, now);
 	}
 
 	// Returns whether the target was cold before or is cold now.
-	boolean update(ViewTarget next, long now) {
+	boolean update(ViewTarget next, long term, long now) {
 		boolean wasCold = cold(now);
 		boolean returns = next.usable() && !this.view.usable();
 		this.view = next;
-		this.coldPeriod.viewed(next.coldLeftMillis(), next.coldAssumed(), returns, now);
+		this.coldPeriod.viewed(next.coldLeftMillis(), next.coldAssumed(), returns, term, now);
 		return wasCold || cold(now);
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -120,7 +120,7 @@
 		List<EntryTarget> removed = removeTargets(update, next);
 		List<EntryTarget> cold = new ArrayList<>();
 		next.targets().forEach((name, prepared) -> {
-			if (prepared.target().update(prepared.view(), now)) {
+			if (prepared.target().update(prepared.view(), update.term(), now)) {
 				cold.add(prepared.target());
 			}
 			this.targets.put(name, prepared.target());
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
@@ -190,6 +190,18 @@
 		assertThat(leftMillis("b")).isZero();
 	}
 
+	/**
+	 * Guards against a cold target that is flooded because a new leader receives a
+	 * heartbeat that was sent before those that the former one received.
+	 */
+	@Test
+	void shouldNotShortenTheColdPeriodThatAFormerLeaderStated() throws Exception {
+		apply(viewOf(6, cold("a", 1, true, 3000, false), cold("b", 1, true, 3000, false)));
+		apply(viewOf(7, cold("a", 1, true, 0, false), cold("b", 1, true, 5000, false)));
+		assertThat(leftMillis("a")).isEqualTo(3000);
+		assertThat(leftMillis("b")).isEqualTo(5000);
+	}
+
 	/**
 	 * Guards against a target of which no leader has stated anything that counts as warm:
 	 * a new one, a new incarnation, and one that was out of service.
