--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
@@ -3,8 +3,9 @@
 /**
  * What is known of the time for which one incarnation of a target is cold, that is,
  * warming up: until when, by whose word, and since when. Invariants: an assumption never
- * replaces a statement; once the target may have started again, only its own word or
- * contact with it ends the doubt. Reads no clock. Not thread safe.
+ * replaces a statement; a leader never shortens what an earlier one stated; once the
+ * target may have started again, only its own word or contact with it ends the doubt.
+ * Reads no clock. Not thread safe.
  */
 public final class ColdPeriod {
 
@@ -22,6 +23,12 @@
 
 	private long sinceNanos;
 
+	// The term of the leader that made the last statement.
+	private long term;
+
+	// The end that leaders of earlier terms stated.
+	private long formerUntilNanos;
+
 	/**
 	 * Creates a cold period of which nothing is known; the target counts as warm.
 	 * @param now the monotonic time in nanoseconds
@@ -29,31 +36,47 @@
 	public ColdPeriod(long now) {
 		this.untilNanos = now;
 		this.sinceNanos = now;
+		this.formerUntilNanos = now;
 	}
 
 	/**
-	 * Records the remaining time that the control leader states. It replaces what was
-	 * known before, unless the target may have started again since the leader heard of
-	 * it. It doesn't shorten what the target has named since then, since the heartbeat on
-	 * which the statement rests may be older.
-	 * @param leftMillis the time in milliseconds, 0 if the target is warm
+	 * Records what a view of the control leader contains of the incarnation.
+	 * @param leftMillis the remaining time in milliseconds, 0 if the target is warm
+	 * @param assumed whether the leader assumes it because it has received no heartbeat
+	 * @param returns whether the target returns to service with this view
+	 * @param viewTerm the term of the leader
 	 * @param now the monotonic time in nanoseconds
 	 */
-	public void stated(long leftMillis, long now) {
-		boolean older = this.source == Source.NAMED && now - this.sinceNanos < MAX_HEARTBEAT_AGE_NANOS
-				&& now + leftMillis * NANOS_PER_MILLI - this.untilNanos < 0;
-		if (this.source != Source.SUSPECTED && !older) {
-			set(Source.STATED, leftMillis, now);
+	public void viewed(long leftMillis, boolean assumed, boolean returns, long viewTerm, long now) {
+		if (!assumed) {
+			stated(leftMillis, viewTerm, now);
+			return;
 		}
+		// While it got no requests, it may have become cold.
+		if (returns) {
+			forget();
+		}
+		assumed(leftMillis, now);
 	}
 
-	/**
-	 * Records the remaining time that the control leader assumes because it has received
-	 * no heartbeat of the target. What an earlier leader or the target stated stays.
-	 * @param leftMillis the time in milliseconds
-	 * @param now the monotonic time in nanoseconds
-	 */
-	public void assumed(long leftMillis, long now) {
+	// Within a term, the leader knows which heartbeat is the latest. A later leader may
+	// have received one that was sent before those that the earlier one received, and the
+	// target may have named its cold period after it was sent.
+	private void stated(long leftMillis, long viewTerm, long now) {
+		if (this.term != viewTerm) {
+			this.formerUntilNanos = (this.source == Source.STATED) ? this.untilNanos : now;
+			this.term = viewTerm;
+		}
+		long left = Math.max(leftMillis, (this.formerUntilNanos - now) / NANOS_PER_MILLI);
+		boolean olderThanNamed = this.source == Source.NAMED && now - this.sinceNanos < MAX_HEARTBEAT_AGE_NANOS
+				&& now + left * NANOS_PER_MILLI - this.untilNanos < 0;
+		if (this.source != Source.SUSPECTED && !olderThanNamed) {
+			set(Source.STATED, left, now);
+		}
+	}
+
+	// What an earlier leader or the target stated stays.
+	private void assumed(long leftMillis, long now) {
 		if (this.source == Source.NONE || this.source == Source.ASSUMED) {
 			set(Source.ASSUMED, leftMillis, now);
 		}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/ColdPeriodTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/ColdPeriodTests.java
@@ -19,11 +19,11 @@
 	// Guards against a view that rests on a heartbeat from before the target became cold.
 	@Test
 	void shouldNotLetAStatementShortenWhatTheTargetHasJustNamed() {
-		this.period.stated(0, 0);
+		stated(0, 0);
 		this.period.named(3000, 10 * MS);
-		this.period.stated(0, 500 * MS);
+		stated(0, 500 * MS);
 		assertThat(this.period.cold(2000 * MS)).isTrue();
-		this.period.stated(9000, 600 * MS);
+		stated(9000, 600 * MS);
 		assertThat(this.period.leftMillis(600 * MS)).isEqualTo(9000);
 	}
 
@@ -32,14 +32,14 @@
 	@Test
 	void shouldLetALaterStatementEndWhatTheTargetNamed() {
 		this.period.named(3_000_000, 0);
-		this.period.stated(0, 6000 * MS);
+		stated(0, 6000 * MS);
 		assertThat(this.period.cold(6000 * MS)).isFalse();
 	}
 
 	// Guards against a response that arrives late and ends the period too soon.
 	@Test
 	void shouldNotLetAResponseShortenThePeriod() {
-		this.period.stated(3000, 0);
+		stated(3000, 0);
 		this.period.named(10, MS);
 		this.period.answered(MS, 0, 2 * MS);
 		assertThat(this.period.leftMillis(0)).isEqualTo(3000);
@@ -50,9 +50,9 @@
 	@Test
 	void shouldCountAsColdAfterAPossibleRestartUntilThePresentProcessResponds() {
 		this.period.suspected(100 * MS);
-		this.period.stated(0, 200 * MS);
+		stated(0, 200 * MS);
 		this.period.forget();
-		this.period.assumed(0, 200 * MS);
+		this.period.viewed(0, true, false, 1, 200 * MS);
 		this.period.named(0, 200 * MS);
 		this.period.contacted(99 * MS, 3000, 200 * MS);
 		this.period.answered(99 * MS, 0, 200 * MS);
@@ -73,4 +73,8 @@
 		assertThat(this.period.cold(7 * MS)).isFalse();
 	}
 
+	private void stated(long leftMillis, long now) {
+		this.period.viewed(leftMillis, false, false, 1, now);
+	}
+
 }
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
@@ -50,24 +50,14 @@
 		this.coldPeriod = new ColdPeriod(now);
 		this.nextPermitNanos = now;
 		this.view = view;
-		update(view, now);
 	}
 
 	// Returns whether the target was cold before or is cold now.
-	boolean update(ViewTarget next, long now) {
+	boolean update(ViewTarget next, long term, long now) {
 		boolean wasCold = cold(now);
 		boolean returns = next.usable() && !this.view.usable();
 		this.view = next;
-		if (!next.coldAssumed()) {
-			this.coldPeriod.stated(next.coldLeftMillis(), now);
-		}
-		else {
-			// While it got no requests, it may have become cold.
-			if (returns) {
-				this.coldPeriod.forget();
-			}
-			this.coldPeriod.assumed(next.coldLeftMillis(), now);
-		}
+		this.coldPeriod.viewed(next.coldLeftMillis(), next.coldAssumed(), returns, term, now);
 		return wasCold || cold(now);
 	}
 
