Assume the whole cold period of a target that can't be heard

Cause: a new leader assumed that a target of which it has received no heartbeat is cold for 6 s, whatever the configuration says. With a longer cold period, a cold target that is cut off from control, though entry instances reach it, counted as warm afterwards. Change: the assumption lasts for the cold period of the service, at least 6 s, since the target may have become cold just before the leader began. FleetControllerTests.shouldAssumeTheWholeColdPeriodOfTheService failed before (0 ms left instead of 12000) and passes.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -117,6 +117,8 @@
 
 	private Map<String, GrantMode> shardedServices = Map.of();
 
+	private Map<String, Long> coldMillisByService = Map.of();
+
 	private long lastBalanceNanos;
 
 	private long lastTargetChangeNanos;
@@ -156,6 +158,17 @@
 		this.shardedServices = configured.stream()
 			.filter(ServiceSpec::sharded)
 			.collect(Collectors.toUnmodifiableMap(ServiceSpec::name, ServiceSpec::grantMode));
+		this.coldMillisByService = configured.stream()
+			.collect(Collectors.toUnmodifiableMap(ServiceSpec::name, ServiceSpec::coldMillis));
+		this.state.targets()
+			.forEach((target) -> Optional.ofNullable(this.healthByTarget.get(target.name()))
+				.ifPresent((health) -> assumeColdPeriod(health, target)));
+	}
+
+	// A leader that receives no heartbeat of a target doesn't know when it became cold.
+	private TargetHealth assumeColdPeriod(TargetHealth health, FleetTarget target) {
+		health.assumeColdPeriod(this.coldMillisByService.getOrDefault(target.service(), 0L) * NANOS_PER_MILLI);
+		return health;
 	}
 
 	/**
@@ -358,7 +371,8 @@
 			TargetHealth health = this.healthByTarget.get(record.target().name());
 			quarantineUnknownOwners(record.target(), now);
 			if (health == null || health.born() != record.target().born()) {
-				this.healthByTarget.put(record.target().name(), TargetHealth.joined(record.target().born(), now));
+				this.healthByTarget.put(record.target().name(),
+						assumeColdPeriod(TargetHealth.joined(record.target().born(), now), record.target()));
 			}
 			this.lastTargetChangeNanos = now;
 			this.viewChanges++;
@@ -718,7 +732,8 @@
 
 	// A target has no health yet if following the command that recorded it failed.
 	TargetHealth health(FleetTarget target, long now) {
-		return this.healthByTarget.computeIfAbsent(target.name(), (name) -> TargetHealth.joined(target.born(), now));
+		return this.healthByTarget.computeIfAbsent(target.name(),
+				(name) -> assumeColdPeriod(TargetHealth.joined(target.born(), now), target));
 	}
 
 	void proposeHigherFence(RangeLease lease) {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -19,10 +19,11 @@
 	static final long LOST_AFTER_NANOS = 6_000_000_000L;
 
 	/**
-	 * Time for which a target counts as cold if this leader has received no heartbeat of
-	 * it. A target without one is lost by then, unless something else shows that it runs.
+	 * Minimum time for which a target counts as cold if this leader has received no
+	 * heartbeat of it. A target without one is lost by then, unless something else shows
+	 * that it runs.
 	 */
-	static final long MAX_ASSUMED_COLD_NANOS = LOST_AFTER_NANOS;
+	static final long MIN_ASSUMED_COLD_NANOS = LOST_AFTER_NANOS;
 
 	/**
 	 * Maximum time from the sending of a heartbeat until it is received: targets give up
@@ -122,7 +123,7 @@
 		this.lastHeartbeatNanos = now;
 		this.lastResponseNanos = now - LOST_AFTER_NANOS;
 		this.lastReplyNanos = now - LOST_AFTER_NANOS;
-		this.coldUntilNanos = now + MAX_ASSUMED_COLD_NANOS;
+		this.coldUntilNanos = now + MIN_ASSUMED_COLD_NANOS;
 		this.notedColdUntilNanos = this.coldUntilNanos;
 		this.refusesUntilNanos = now;
 	}
@@ -176,6 +177,14 @@
 		return sequence == this.lastSequence;
 	}
 
+	// Assumes that the target, unless it was heard, became cold just before this leader
+	// began to observe it.
+	void assumeColdPeriod(long nanos) {
+		if (this.coldAssumed) {
+			this.coldUntilNanos = Math.max(this.coldUntilNanos, this.lastHeartbeatNanos + nanos);
+		}
+	}
+
 	// Records that the failure domain of the target has returned to service. The target
 	// may have become cold before, so entry instances have to forget what they knew.
 	void domainReturned(long coldNanos, long returnedNanos) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -22,6 +22,8 @@
 import org.redwingramp.core.ownership.KeyRange;
 import org.redwingramp.core.ownership.KeyReport;
 import org.redwingramp.core.ownership.Owner;
+import org.redwingramp.core.traffic.GrantMode;
+import org.redwingramp.core.traffic.ServiceSpec;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -556,6 +558,20 @@
 		assertThat(coldLeftMillis("t-long")).isZero();
 	}
 
+	/**
+	 * Guards against a cold target that is flooded, because a new leader that can't hear
+	 * it assumes a shorter cold period than that of its service.
+	 */
+	@Test
+	void shouldAssumeTheWholeColdPeriodOfTheService() {
+		this.fleet.startLeadership();
+		this.fleet.controller.services(List.of(new ServiceSpec("s", "/", 1, true, 20_000, 10, 0, GrantMode.CALL)));
+		this.fleet.commit(new RecordTarget(new FleetTarget("t-9", 1, "s", "10.0.0.9:80", "d", 3, Stage.SERVING)));
+		this.fleet.now += 8000 * FakeFleet.MS;
+		assertThat(coldLeftMillis("t-0")).isEqualTo(12_000);
+		assertThat(coldLeftMillis("t-9")).isEqualTo(12_000);
+	}
+
 	/** Guards against a target that is cold for longer than it was limited. */
 	@Test
 	void shouldFollowAHeartbeatAfterTheReturnOfItsDomainThatStatesALongerColdPeriod() {
