Divide limits by the instances that the former leader counted

Cause: a new leader counts the entry instances that have contacted it and sends this number; each instance then divides fleet-wide limits (the rate of a cold target without a leader, additional retries) by it. A number that wasn't complete was used as if it were; with more than ten instances the shares add up to more than the limit. Change: for 12 s after a change of the leader an instance doesn't go below the number that the former leader reported. EntryViewTests.shouldNotDivideLimitsByTheFewInstancesThatANewLeaderKnowsOf failed before (12 instead of 40) and passes.

--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/PermitDecision.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/PermitDecision.java
@@ -50,8 +50,8 @@
 
 	@Override
 	public void noReply() {
-		if (this.candidate.tryAcquireShare(this.rate.perSecond(), this.node.view().limitSharingInstances(),
-				System.nanoTime())) {
+		long now = System.nanoTime();
+		if (this.candidate.tryAcquireShare(this.rate.perSecond(), this.node.view().limitSharingInstances(now), now)) {
 			log("share");
 			this.execution.sendPermitted(this.candidate);
 		}
