--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -659,7 +659,7 @@
 
 	// Returns this instance's share of the fleet-wide number of additional retries.
 	private int additionalRetries() {
-		return this.settings.additionalRetries() / this.view.limitSharingInstances(System.nanoTime());
+		return this.settings.additionalRetries() / this.view.limitSharingInstances();
 	}
 
 	RetryBudget retryBudget(String service) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -36,15 +36,11 @@
  */
 final class EntryView {
 
-	/** Lower bound for the number of entry instances that share a fleet-wide limit. */
-	private static final int MIN_LIMIT_SHARING_INSTANCES = 10;
-
 	/**
-	 * Time for which the number of entry instances that a former leader reported is a
-	 * lower bound too: a new leader reports too low a number until all have contacted it.
-	 * An instance without a leader stops serving requests for keys by then.
+	 * Lower bound for the number of entry instances that share a fleet-wide limit. A new
+	 * leader reports too low a number until all instances have contacted it.
 	 */
-	private static final long FORMER_INSTANCES_NANOS = 12_000_000_000L;
+	private static final int MIN_LIMIT_SHARING_INSTANCES = 10;
 
 	/** The service time assumed for a target before its first response. */
 	private static final double INITIAL_SERVICE_MILLIS = 100;
@@ -77,10 +73,6 @@
 
 	private int instances;
 
-	private int formerInstances;
-
-	private long formerInstancesUntilNanos;
-
 	private long term;
 
 	private long sequence;
@@ -138,10 +130,6 @@
 			groupUsableTargets();
 		}
 		this.skipped = List.copyOf(next.skipped());
-		if (update.term() != this.term) {
-			this.formerInstances = limitSharingInstances(now);
-			this.formerInstancesUntilNanos = now + FORMER_INSTANCES_NANOS;
-		}
 		this.instances = update.instances();
 		this.newestConfigVersion = update.configVersion();
 		this.term = update.term();
@@ -239,9 +227,8 @@
 
 	// Returns the number of entry instances among which fleet-wide limits are
 	// divided.
-	int limitSharingInstances(long now) {
-		int former = (now - this.formerInstancesUntilNanos < 0) ? this.formerInstances : 0;
-		return Math.max(MIN_LIMIT_SHARING_INSTANCES, Math.max(former, this.instances));
+	int limitSharingInstances() {
+		return Math.max(MIN_LIMIT_SHARING_INSTANCES, this.instances);
 	}
 
 	long term() {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/PermitDecision.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/PermitDecision.java
@@ -50,8 +50,8 @@
 
 	@Override
 	public void noReply() {
-		long now = System.nanoTime();
-		if (this.candidate.tryAcquireShare(this.rate.perSecond(), this.node.view().limitSharingInstances(now), now)) {
+		if (this.candidate.tryAcquireShare(this.rate.perSecond(), this.node.view().limitSharingInstances(),
+				System.nanoTime())) {
 			log("share");
 			this.execution.sendPermitted(this.candidate);
 		}
