Play switches of grants and restarts beside new leaders in the random run

CallOwnershipTests played neither a switch of grants nor a restart after a release by a new leader. Its targets take replies to heartbeats now, its fleet switches between calls and heartbeats, and a second test mixes both kinds of fault with the former ones. A leader's last calls follow the way in which its service is granted keys. The first test plays the same seeds as before, with the same random numbers.

--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallFleet.java
@@ -15,6 +15,7 @@
 import org.redwingramp.core.fleet.FleetTarget.Stage;
 import org.redwingramp.core.ownership.GrantOutcome;
 import org.redwingramp.core.ownership.KeyRange;
+import org.redwingramp.core.ownership.LeaseRenewal;
 import org.redwingramp.core.ownership.LeaseTiming;
 import org.redwingramp.core.ownership.OwnedRange;
 import org.redwingramp.core.ownership.RangeLease;
@@ -54,6 +55,8 @@
 
 	private Optional<FleetController> controller = Optional.empty();
 
+	private GrantMode mode = GrantMode.CALL;
+
 	private int steps;
 
 	CallFleet(long seed, int size) {
@@ -101,15 +104,28 @@
 
 	private void startLeadership() {
 		FleetController next = new FleetController(this.state, this, LeaseTiming.DEFAULT, this.time.now());
-		next.services(List.of(new ServiceSpec("s", "/", 1, true, 0, 0, 0, GrantMode.CALL)));
+		configure(next);
 		this.controller = Optional.of(next);
 	}
 
+	// Switches between the two ways of granting keys.
+	void switchMode() {
+		this.mode = (this.mode == GrantMode.CALL) ? GrantMode.HEARTBEAT : GrantMode.CALL;
+		this.controller.ifPresent(this::configure);
+	}
+
+	private void configure(FleetController leader) {
+		leader.services(List.of(new ServiceSpec("s", "/", 1, true, 0, 0, 0, this.mode)));
+	}
+
 	// A leader sends grants until its own lease ends, before which there is no other
 	// leader, and releases that it has decided on until it notices its end. Here it sends
 	// either for any range of the committed assignment, which covers those that it would
 	// have chosen, and releases up to half a second later.
 	private void sendLastCalls() {
+		if (this.mode == GrantMode.HEARTBEAT || !this.state.mayHaveCalls("s")) {
+			return;
+		}
 		long releaseFence = this.state.highestFence();
 		this.state.keys("s").ranges().forEach((range) -> {
 			int choice = this.random.nextInt(8);
@@ -179,18 +195,31 @@
 		if (!target.alive) {
 			return;
 		}
+		sendHeartbeat(target);
+		this.time.schedule(500, () -> heartbeats(target));
+	}
+
+	void sendHeartbeat(CallTarget target) {
 		if (!target.cutFromControl && !this.network.lost()) {
-			TargetHeartbeat heartbeat = target.heartbeat();
-			this.time.schedule(1 + this.random.nextInt(this.network.lost() ? 2000 : 3), () -> received(heartbeat));
+			TargetHeartbeat heartbeat = target.heartbeat(this.time.now());
+			this.time.schedule(1 + this.random.nextInt(this.network.lost() ? 2000 : 3),
+					() -> received(target, heartbeat));
 		}
-		this.time.schedule(500, () -> heartbeats(target));
 	}
 
-	private void received(TargetHeartbeat heartbeat) {
+	private void received(CallTarget target, TargetHeartbeat heartbeat) {
 		long now = this.time.now();
-		this.controller.filter((leader) -> leader.objectionTo(heartbeat, now / MS).isEmpty())
-			.flatMap((leader) -> leader.heartbeat(heartbeat, now))
-			.ifPresent(this::propose);
+		this.controller.filter((leader) -> leader.objectionTo(heartbeat, now / MS).isEmpty()).ifPresent((leader) -> {
+			leader.heartbeat(heartbeat, now).ifPresent(this::propose);
+			leader.renewal(heartbeat, now).ifPresent((renewal) -> reply(target, heartbeat, renewal));
+		});
+	}
+
+	private void reply(CallTarget target, TargetHeartbeat heartbeat, LeaseRenewal renewal) {
+		if (!target.cutFromControl && !this.network.lost()) {
+			this.time.schedule(1 + this.random.nextInt(this.network.lost() ? 2000 : 3),
+					() -> target.replyReceived(heartbeat.sequence(), renewal, this.time.now(), this.check));
+		}
 	}
 
 	// Commands are committed in the order in which they were proposed.
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallNetwork.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallNetwork.java
@@ -40,6 +40,9 @@
 
 	private static final double STALE_CONFIRMATION = 0.05;
 
+	/** Number of calls among five that wait in a queue before they are sent. */
+	int queuedOfFive = 1;
+
 	/** Share of the calls and replies that are lost. */
 	double loss;
 
@@ -70,7 +73,7 @@
 
 	void send(Call call, Consumer<GrantOutcome> receiver) {
 		Reply reply = new Reply(receiver);
-		int queued = (this.random.nextInt(5) == 0) ? this.random.nextInt(MAX_QUEUED_MILLIS) : 0;
+		int queued = (this.random.nextInt(5) < this.queuedOfFive) ? this.random.nextInt(MAX_QUEUED_MILLIS) : 0;
 		int timeout = queued + (call.release ? RELEASE_TIMEOUT_MILLIS : GRANT_TIMEOUT_MILLIS);
 		int transit = 1 + this.random.nextInt((this.random.nextInt(5) == 0) ? GRANT_TIMEOUT_MILLIS - 1 : 3);
 		this.time.schedule(call.relayed ? RELAY_TIMEOUT_MILLIS : timeout, () -> reply.accept(GrantOutcome.UNKNOWN));
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallOwnershipTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallOwnershipTests.java
@@ -3,6 +3,7 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Random;
+import java.util.function.BiConsumer;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 
@@ -52,14 +53,63 @@
 	 */
 	@Test
 	void shouldGiveKeysOnlyOneOwnerAlthoughCallsAreCarriedOutLate() {
+		playSeeds((fleet, faults) -> disturb(fleet, faults));
+	}
+
+	/**
+	 * Guards against two owners of a key after a switch between the two ways of granting
+	 * keys, while calls are carried out late and leaders change, and after the restart of
+	 * a target that has released its keys to a new leader.
+	 */
+	@Test
+	void shouldGiveKeysOnlyOneOwnerAfterSwitchesAndRestartsBesideNewLeaders() {
+		playSeeds((fleet, faults) -> {
+			switch (faults.nextInt(6)) {
+				case 0 -> switchBesideNewLeaders(fleet, faults);
+				case 1 -> releaseAndRestart(fleet, faults);
+				default -> disturb(fleet, faults);
+			}
+		});
+	}
+
+	private static void playSeeds(BiConsumer<CallFleet, Random> disturbance) {
 		long first = Long.getLong("call-ownership.first", 0);
 		List<String> failures = LongStream.range(first, first + Long.getLong("call-ownership.seeds", 200))
-			.mapToObj(CallOwnershipTests::failureOf)
+			.mapToObj((seed) -> failureOf(seed, disturbance))
 			.filter((failure) -> !failure.isEmpty())
 			.toList();
 		assertThat(failures).as("%d seeds fail", failures.size()).isEmpty();
 	}
 
+	private static void switchBesideNewLeaders(CallFleet fleet, Random faults) {
+		fleet.switchMode();
+		if (faults.nextBoolean()) {
+			fleet.advance(faults.nextInt(600));
+		}
+		fleet.changeLeader(faults.nextInt(300));
+		fleet.advance(faults.nextInt(600));
+		List<CallTarget> serving = fleet.serving();
+		if (serving.size() > MIN_SERVING) {
+			serving.get(faults.nextInt(serving.size())).drain();
+		}
+		fleet.reportHotKey(faults.nextInt(KeyRange.KEYS));
+	}
+
+	private static void releaseAndRestart(CallFleet fleet, Random faults) {
+		joinUpTo(fleet, MAX_SERVING);
+		fleet.advance(1500);
+		fleet.network.queuedOfFive = 5;
+		fleet.changeLeader(0);
+		fleet.network.queuedOfFive = 1;
+		fleet.advance(50);
+		List<CallTarget> serving = fleet.serving();
+		CallTarget target = serving.get(faults.nextInt(serving.size()));
+		target.drain();
+		fleet.sendHeartbeat(target);
+		fleet.advance(150 + faults.nextInt(400));
+		fleet.restart(target);
+	}
+
 	/**
 	 * Guards against keys that aren't served until their lease has ended, because the
 	 * owner has seen the fence of a release that the former leader sent.
@@ -81,9 +131,9 @@
 	}
 
 	// Returns the seed and the reason for which its run failed, empty if it passed.
-	private static String failureOf(long seed) {
+	private static String failureOf(long seed, BiConsumer<CallFleet, Random> disturbance) {
 		try {
-			play(seed);
+			play(seed, disturbance);
 			return "";
 		}
 		catch (AssertionError ex) {
@@ -91,14 +141,14 @@
 		}
 	}
 
-	private static void play(long seed) {
+	private static void play(long seed, BiConsumer<CallFleet, Random> disturbance) {
 		CallFleet fleet = new CallFleet(seed, 5);
 		Random faults = new Random(seed + 1);
 		fleet.advance(4000);
 		fleet.network.loss = 0.3 * faults.nextDouble();
 		fleet.network.late = 0.7 * faults.nextDouble();
 		IntStream.range(0, FAULTS).forEach((round) -> {
-			disturb(fleet, faults);
+			disturbance.accept(fleet, faults);
 			fleet.advance(faults.nextBoolean() ? faults.nextInt(150) : 100 + faults.nextInt(1500));
 		});
 		fleet.network.loss = 0;
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallTarget.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallTarget.java
@@ -9,12 +9,18 @@
 import org.redwingramp.core.ownership.GrantOutcome;
 import org.redwingramp.core.ownership.KeyRange;
 import org.redwingramp.core.ownership.KeyReport;
+import org.redwingramp.core.ownership.KeyReport.HeldRange;
+import org.redwingramp.core.ownership.KeyReport.ReleasedRange;
+import org.redwingramp.core.ownership.LeaseRenewal;
+import org.redwingramp.core.ownership.LeaseRenewal.GrantedRange;
 
 /**
- * A stand-in for one incarnation of a target that is granted keys by calls. It refuses a
- * grant only if it has seen a higher fence for one of the keys, in a grant or a release;
- * a release takes keys away whatever its fence. It holds keys until the grant's time has
- * ended by its own clock, or until the work on released keys has ended. Not thread safe.
+ * A stand-in for one incarnation of a target that is granted keys by calls, and by the
+ * replies to its heartbeats if they list any. It refuses a grant only if it has seen a
+ * higher fence for one of the keys, in a grant or a release; a release takes keys away
+ * whatever its fence, and so does a reply that leaves them out. It holds keys until the
+ * grant's time has ended by its own clock, or until the work on released keys has ended.
+ * Not thread safe.
  */
 final class CallTarget {
 
@@ -23,6 +29,8 @@
 	/** Time that a grant gives, from its arrival. */
 	private static final long GRANT_NANOS = 3000 * MS;
 
+	private static final long REPLY_TIMEOUT_NANOS = 1000 * MS;
+
 	private static final double SLOW_CLOCK = 1.02;
 
 	private static final int MAX_WORK_MILLIS = 300;
@@ -52,8 +60,12 @@
 
 	private final List<Seen> seen = new ArrayList<>();
 
+	private final List<Freed> freed = new ArrayList<>();
+
 	private long sequence;
 
+	private long heartbeatSentNanos;
+
 	CallTarget(String name, long born, String address, Random random) {
 		this.name = name;
 		this.born = born;
@@ -66,9 +78,69 @@
 		return new FleetTarget(this.name, this.born, "s", this.address, "d", 3, this.stage);
 	}
 
-	TargetHeartbeat heartbeat() {
+	TargetHeartbeat heartbeat(long now) {
 		this.sequence++;
-		return new TargetHeartbeat(description(), 0, this.sequence, KeyReport.EMPTY);
+		this.heartbeatSentNanos = now;
+		return new TargetHeartbeat(description(), 0, this.sequence,
+				new KeyReport(
+						this.held.stream()
+							.filter((part) -> part.endNanos() > now)
+							.map((part) -> new HeldRange(part.keys, part.fence))
+							.toList(),
+						this.freed.stream()
+							.filter((part) -> part.atNanos <= now)
+							.map((part) -> new ReleasedRange(part.keys, "token"))
+							.toList()));
+	}
+
+	// Takes the reply to its latest heartbeat, which lists all keys that it is to hold.
+	void replyReceived(long answered, LeaseRenewal renewal, long now, OwnershipCheck check) {
+		if (!this.alive || answered != this.sequence || now - this.heartbeatSentNanos > REPLY_TIMEOUT_NANOS) {
+			return;
+		}
+		this.freed.removeIf((part) -> part.atNanos <= this.heartbeatSentNanos);
+		long until = this.heartbeatSentNanos + (long) (renewal.holdMillis() * MS * this.clock);
+		List<Part> left = this.held.stream().filter(Part::granted).toList();
+		this.held.removeAll(left);
+		List<GrantedRange> accepted = renewal.ranges()
+			.stream()
+			.filter((row) -> this.seen.stream()
+				.noneMatch((other) -> other.keys.overlaps(row.keys()) && other.fence > row.fence()))
+			.toList();
+		accepted.forEach((row) -> {
+			if (until > now) {
+				check.accepted(this, row.keys(), row.fence(), now);
+			}
+			see(row.keys(), row.fence());
+			take(row.keys());
+			this.held.add(new Part(row.keys(), row.fence(), until, Long.MAX_VALUE));
+		});
+		left.stream()
+			.filter((part) -> part.untilNanos > now)
+			.flatMap((part) -> without(part.keys, accepted).map(part::with))
+			.forEach((part) -> {
+				Part ending = part.endingAt(now + this.random.nextInt(MAX_WORK_MILLIS) * MS);
+				this.held.add(ending);
+				if (ending.workEndNanos < ending.untilNanos) {
+					this.freed.add(new Freed(ending.keys, ending.workEndNanos));
+				}
+			});
+	}
+
+	private static Stream<KeyRange> without(KeyRange keys, List<GrantedRange> rows) {
+		List<KeyRange> parts = List.of(keys);
+		for (GrantedRange row : rows) {
+			parts = parts.stream().flatMap((part) -> outside(part, row.keys())).toList();
+		}
+		return parts.stream();
+	}
+
+	private static Stream<KeyRange> outside(KeyRange keys, KeyRange removed) {
+		if (!keys.overlaps(removed)) {
+			return Stream.of(keys);
+		}
+		return Stream.of(new KeyRange(keys.first(), removed.first() - 1), new KeyRange(removed.last() + 1, keys.last()))
+			.filter((part) -> part.first() <= part.last());
 	}
 
 	void drain() {
@@ -150,6 +222,10 @@
 	private record Seen(KeyRange keys, long fence) {
 	}
 
+	// Keys that the reply to a heartbeat took away, with the end of the work on them.
+	private record Freed(KeyRange keys, long atNanos) {
+	}
+
 	private record Part(KeyRange keys, long fence, long untilNanos, long workEndNanos) {
 
 		boolean granted() {
