Reset only open connections in the crash of a simulated target

RestartedTargetTests failed once with 'Socket is closed': the thread that serves a connection closes it before it takes it off the list, and the crash came between the two. Only the test's target is concerned.

--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashingTarget.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashingTarget.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
@@ -116,9 +117,21 @@
 	void crash() throws IOException {
 		this.server.close();
 		for (Socket connection : this.connections) {
+			reset(connection);
+		}
+	}
+
+	private static void reset(Socket connection) throws IOException {
+		try {
 			connection.setSoLinger(true, 0);
 			connection.close();
 		}
+		catch (SocketException ex) {
+			// The thread that served it may have closed it.
+			if (!connection.isClosed()) {
+				throw ex;
+			}
+		}
 	}
 
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/RestartedTargetTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/RestartedTargetTests.java
@@ -74,8 +74,7 @@
 		}
 	}
 
-	// Guards against a target that is taken for one that has started again since it
-	// resets
+	// Guards against a target that is taken for one that has started again since it resets
 	// connections when it is full.
 	@Test
 	void shouldNotTakeBrokenConnectionsForARestart() throws Exception {
