Revert "Ask a target that may have started again for how long it is cold"

Review: a target that is full, that resets connections over its cap or that rejects its health check would be taken for one that has started again and limited to the rate of a cold one, at the time of the highest load; a change of its service's configuration would limit it for ever; and idle connections that end would cost health checks in large fleets.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
@@ -3,9 +3,8 @@
 /**
  * What is known of the time for which one incarnation of a target is cold, that is,
  * warming up: until when, by whose word, and since when. Invariants: an assumption never
- * replaces a statement; a leader never shortens what an earlier one stated; once the
- * target may have started again, only its own word or contact with it ends the doubt.
- * Reads no clock. Not thread safe.
+ * replaces a statement; a leader never shortens what an earlier one stated. Reads no
+ * clock. Not thread safe.
  */
 public final class ColdPeriod {
 
@@ -70,7 +69,7 @@
 		long left = Math.max(leftMillis, (this.formerUntilNanos - now) / NANOS_PER_MILLI);
 		boolean olderThanNamed = this.source == Source.NAMED && now - this.sinceNanos < MAX_HEARTBEAT_AGE_NANOS
 				&& now + left * NANOS_PER_MILLI - this.untilNanos < 0;
-		if (this.source != Source.SUSPECTED && !olderThanNamed) {
+		if (!olderThanNamed) {
 			set(Source.STATED, left, now);
 		}
 	}
@@ -82,57 +81,9 @@
 		}
 	}
 
-	/**
-	 * Forgets what was known, so that the next assumption holds. That the target may have
-	 * started again isn't forgotten.
-	 */
+	/** Forgets what was known, so that the next assumption holds. */
 	public void forget() {
-		if (this.source != Source.SUSPECTED) {
-			this.source = Source.NONE;
-		}
-	}
-
-	/**
-	 * Records that the target may have started again, so that what was known of its cold
-	 * period no longer holds. It counts as cold until {@link #contacted} or
-	 * {@link #answered}.
-	 * @param now the monotonic time in nanoseconds
-	 */
-	public void suspected(long now) {
-		this.source = Source.SUSPECTED;
-		this.untilNanos = now;
-		this.sinceNanos = now;
-	}
-
-	/**
-	 * Records that the target responded to a request. One that may have started again has
-	 * done so before this.
-	 * @param sentNanos when the request was sent; a response to an earlier one may come
-	 * from the former incarnation
-	 * @param maxMillis the longest time for which a target is cold after its start
-	 * @param now the monotonic time in nanoseconds
-	 */
-	public void contacted(long sentNanos, long maxMillis, long now) {
-		if (this.source == Source.SUSPECTED && sentNanos - this.sinceNanos >= 0) {
-			set(Source.ASSUMED, maxMillis, now);
-		}
-	}
-
-	/**
-	 * Records the remaining time that the target names when it is asked. It replaces what
-	 * was assumed; what was stated or named before is only extended.
-	 * @param askedNanos when the target was asked
-	 * @param leftMillis the time in milliseconds, 0 if the target is warm
-	 * @param now the monotonic time in nanoseconds
-	 */
-	public void answered(long askedNanos, long leftMillis, long now) {
-		boolean suspected = this.source == Source.SUSPECTED && askedNanos - this.sinceNanos >= 0;
-		if (suspected || this.source == Source.ASSUMED) {
-			set(Source.NAMED, leftMillis, now);
-		}
-		else {
-			named(leftMillis, now);
-		}
+		this.source = Source.NONE;
 	}
 
 	/**
@@ -142,7 +93,7 @@
 	 * @param now the monotonic time in nanoseconds
 	 */
 	public void named(long leftMillis, long now) {
-		if (this.source != Source.SUSPECTED && now + leftMillis * NANOS_PER_MILLI - this.untilNanos > 0) {
+		if (now + leftMillis * NANOS_PER_MILLI - this.untilNanos > 0) {
 			set(Source.NAMED, leftMillis, now);
 		}
 	}
@@ -159,21 +110,13 @@
 	 * @return whether it is cold
 	 */
 	public boolean cold(long now) {
-		return suspected() || now - this.untilNanos < 0;
-	}
-
-	/**
-	 * Returns whether the target may have started again and hasn't been heard of since.
-	 * @return whether this is so
-	 */
-	public boolean suspected() {
-		return this.source == Source.SUSPECTED;
+		return now - this.untilNanos < 0;
 	}
 
 	/**
 	 * Returns the time for which the target is still cold.
 	 * @param now the monotonic time in nanoseconds
-	 * @return the time in milliseconds, 0 if it is warm or may have started again
+	 * @return the time in milliseconds, 0 if it is warm
 	 */
 	public long leftMillis(long now) {
 		return Math.max(0, (this.untilNanos - now) / NANOS_PER_MILLI);
@@ -207,12 +150,9 @@
 		/** The control leader stated it in a view. */
 		STATED,
 
-		/** The control leader or this instance assumes it, since neither knows better. */
+		/** The control leader assumes it, since it has received no heartbeat. */
 		ASSUMED,
 
-		/** The target may have started again, and nothing is known since. */
-		SUSPECTED,
-
 		/** The target named it in a response. */
 		NAMED
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/api/PlatformDialect.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/api/PlatformDialect.java
@@ -42,21 +42,6 @@
 	 */
 	ResponseFields responseFields(List<Header> headers);
 
-	/**
-	 * Creates the request that asks a target for its state.
-	 * @param path the path of the health check
-	 * @param target the name of the target
-	 * @return the request to send
-	 */
-	HttpRequest healthRequest(String path, String target);
-
-	/**
-	 * Extracts the fields that the router needs from a response to such a request.
-	 * @param headers the header fields of the response
-	 * @return the fields
-	 */
-	HealthFields healthFields(List<Header> headers);
-
 	/**
 	 * Creates the response to a caller from a target's response.
 	 * @param response the target's response
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/CrashDetector.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/CrashDetector.java
@@ -61,7 +61,7 @@
 	interface Listener {
 
 		// The target crashed while the requests with these digests were at it.
-		void crashed(EntryTarget target, Set<String> digests);
+		void crashed(String target, Set<String> digests);
 
 	}
 
@@ -110,7 +110,7 @@
 		public void failed(Exception cause) {
 			end();
 			if (cause instanceof ConnectException) {
-				CrashDetector.this.listener.crashed(this.target, this.digests);
+				CrashDetector.this.listener.crashed(this.target.name(), this.digests);
 			}
 		}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryNode.java
@@ -27,7 +27,6 @@
 import org.redwingramp.core.routing.RetryBudgets;
 import org.redwingramp.core.traffic.CallerLimits;
 import org.redwingramp.core.traffic.Route;
-import org.redwingramp.core.traffic.ServiceSpec;
 import org.redwingramp.core.traffic.TrafficConfig;
 import org.redwingramp.node.api.GrantReply;
 import org.redwingramp.node.api.PlatformDialect;
@@ -36,7 +35,6 @@
 import org.redwingramp.node.events.NodeEvent;
 import org.redwingramp.node.events.NodeMetrics;
 import org.redwingramp.node.http.BodyMemoryLimit;
-import org.redwingramp.node.http.CallFailure;
 import org.redwingramp.node.http.Header;
 import org.redwingramp.node.http.HttpExchange;
 import org.redwingramp.node.http.HttpLimits;
@@ -135,8 +133,6 @@
 
 	private final CrashDetector crashes;
 
-	private final ColdQuestions coldQuestions;
-
 	private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
 
 	private final Map<String, Double> routeMillis = new HashMap<>();
@@ -181,8 +177,6 @@
 		this.control = new ControlLinks(loop, settings, this, events);
 		this.permits = new RatePermits(loop, this.control::sendToLeader);
 		this.crashes = new CrashDetector(loop, this::crashed);
-		this.coldQuestions = new ColdQuestions(dialect, this::coldPeriodAsked);
-		this.view.onIdleEnded((target) -> mayHaveRestarted(target, "idle-connection-ended", System.nanoTime()));
 		this.calls = new TargetCalls(loop, dialect, () -> true);
 		this.relayLog = new RelayLog(events);
 	}
@@ -512,15 +506,10 @@
 		this.view.coldTargets()
 			.stream()
 			.limit(MAX_LOGGED_COLD_TARGETS)
-			.forEach((target) -> logColdPeriod(target, "view", now));
-	}
-
-	private void logColdPeriod(EntryTarget target, String cause, long now) {
-		this.events.log(NodeEvent.TARGET_COLD, "target", target.name(), "born", target.view().born(), "usable",
-				target.view().usable(), "cause", cause, "cold-left", target.coldPeriod().leftMillis(now), "cold-source",
-				target.coldPeriod().source(), "cold-age", target.coldPeriod().ageMillis(now), "term", this.view.term(),
-				"view", this.view.sequence(), "cold-targets", this.view.coldTargets().size(), "control-age",
-				leaderContactAgeMillis(now));
+			.forEach((target) -> this.events.log(NodeEvent.TARGET_COLD, "target", target.name(), "born",
+					target.view().born(), "usable", target.view().usable(), "cold-left",
+					target.coldPeriod().leftMillis(now), "cold-source", target.coldPeriod().source(), "term",
+					this.view.term(), "view", this.view.sequence(), "cold-targets", this.view.coldTargets().size()));
 	}
 
 	private List<SkippedElement> receivedObservations(FleetView update, long now) {
@@ -592,52 +581,8 @@
 		return this.suspects;
 	}
 
-	// Records that a target may have started again without that a leader says so. A
-	// target of a sharded service holds no keys after a start and runs nothing.
-	void mayHaveRestarted(EntryTarget target, String cause, long now) {
-		if (coldLimited(target).isPresent()) {
-			boolean known = target.coldPeriod().suspected();
-			target.coldPeriod().suspected(now);
-			if (!known) {
-				this.events.metrics().count("target_restarts_suspected", cause);
-				logColdPeriod(target, cause, now);
-			}
-		}
-	}
-
-	// Records that a target has responded to a request that was sent at the given time.
-	void contacted(EntryTarget target, long sentNanos, long now) {
-		if (target.coldPeriod().suspected()) {
-			coldLimited(target)
-				.ifPresent((service) -> target.coldPeriod().contacted(sentNanos, service.coldMillis(), now));
-			logColdPeriod(target, "response", now);
-		}
-	}
-
-	// Asks a target for how long it is cold.
-	void askColdPeriod(EntryTarget target, long now) {
-		coldLimited(target).ifPresent((service) -> this.coldQuestions.ask(target, service, now));
-	}
-
-	private void coldPeriodAsked(EntryTarget target, String outcome, long now) {
-		this.events.metrics().count("cold_questions", outcome);
-		if (outcome.equals(CallFailure.Cause.NOT_CONNECTED.name())) {
-			mayHaveRestarted(target, outcome, now);
-		}
-		else {
-			logColdPeriod(target, outcome, now);
-		}
-	}
-
-	private Optional<ServiceSpec> coldLimited(EntryTarget target) {
-		return this.view.service(target.view().service())
-			.filter((service) -> !service.sharded() && service.coldPerSecond() > 0);
-	}
-
-	private void crashed(EntryTarget broken, Set<String> digests) {
+	private void crashed(String target, Set<String> digests) {
 		long now = System.nanoTime();
-		String target = broken.name();
-		mayHaveRestarted(broken, "crashed", now);
 		digests.forEach((digest) -> {
 			int count = this.suspects.crashed(digest, now);
 			this.events.log(NodeEvent.TARGET_CRASHED, "target", target, "digest", digest, "crashes", count, "view",
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -9,7 +9,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import org.redwingramp.core.dispatch.TargetTracker;
@@ -68,9 +67,6 @@
 
 	private final Map<String, WeightedRoundRobin> roundRobins = new HashMap<>();
 
-	private Consumer<EntryTarget> idleEndedListener = (target) -> {
-	};
-
 	private List<SkippedElement> skipped = List.of();
 
 	private List<EntryTarget> coldTargets = List.of();
@@ -123,15 +119,8 @@
 	}
 
 	private EntryTarget create(ViewTarget target, InetSocketAddress address, long now) {
-		EntryTarget created = new EntryTarget(target, new TargetConnections(this.loop, address, this.responseMemory),
+		return new EntryTarget(target, new TargetConnections(this.loop, address, this.responseMemory),
 				new TargetTracker(target.slots(), INITIAL_SERVICE_MILLIS, now), now);
-		created.connections().onIdleEnded(() -> this.idleEndedListener.accept(created));
-		return created;
-	}
-
-	// Sets who is told that a target ended an idle connection.
-	void onIdleEnded(Consumer<EntryTarget> listener) {
-		this.idleEndedListener = listener;
 	}
 
 	private void commit(FleetView update, ViewPreparation next, long now) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/RequestExecution.java
@@ -7,7 +7,6 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 
 import org.redwingramp.core.dispatch.ColdPeriod;
 import org.redwingramp.core.observation.Observation;
@@ -321,19 +320,9 @@
 			refuseWithoutTarget(now);
 			return;
 		}
-		askOneOf(usable, now);
 		sendIfAdmitted(this.node.chooseTarget(chosen, now), now);
 	}
 
-	// Asks a target that may have started again for how long it is cold. It gets as many
-	// questions as it would get requests, since it gets none while others are warm.
-	private void askOneOf(List<EntryTarget> usable, long now) {
-		EntryTarget any = usable.get(ThreadLocalRandom.current().nextInt(usable.size()));
-		if (any.coldPeriod().suspected()) {
-			this.node.askColdPeriod(any, now);
-		}
-	}
-
 	// Returns whether the target accepts this request now, by what it stated before.
 	private boolean accepts(EntryTarget candidate, long now) {
 		return candidate.availability().pauseLeftMillis(now) == 0 && !hasLeft(candidate);
@@ -481,7 +470,6 @@
 		ResponseFields responseFields = this.node.dialect().responseFields(response.headers());
 		EntryTarget sender = endAttempt();
 		responseFields.load().ifPresent((load) -> sender.tracker().loadReported(load.running(), load.waiting(), now));
-		this.node.contacted(sender, this.sentNanos, now);
 		responseFields.coldLeftMillis().ifPresent((millis) -> sender.coldPeriod().named(millis, now));
 		limitStated(sender, responseFields, now);
 		noticesStated(sender, response.status(), responseFields, now);
@@ -582,9 +570,6 @@
 	private void callFailed(CallFailure failure) {
 		long now = System.nanoTime();
 		EntryTarget sender = endAttempt();
-		if (failure.cause() == CallFailure.Cause.NOT_CONNECTED) {
-			this.node.mayHaveRestarted(sender, failure.cause().name(), now);
-		}
 		if (!failure.mayHaveRun() || !this.sharded) {
 			recordTargetFailure(sender, failure.cause().name(), now);
 		}
@@ -610,10 +595,6 @@
 				.log(NodeEvent.CONNECTION_BROKEN, "request", this.fields.id().orElse(""), "target", sender.name(),
 						"digest", digest(), "sends", this.sends);
 			this.node.crashes().connectionBroken(sender, digest());
-			// A target that has a free slot doesn't reset connections because it is full.
-			if (sender.tracker().waitMillis(System.nanoTime()) == 0) {
-				this.node.askColdPeriod(sender, System.nanoTime());
-			}
 		}
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/ClientConnection.java
@@ -177,7 +177,7 @@
 	@Override
 	public void endOfStream() {
 		if (this.listener == null) {
-			closeIdle();
+			close();
 			return;
 		}
 		this.persistent = false;
@@ -196,22 +196,8 @@
 		}
 	}
 
-	// Closes a connection without a call in flight that the target has ended.
-	private void closeIdle() {
-		boolean kept = reusable(System.nanoTime());
-		close();
-		if (kept) {
-			this.owner.idleEndedByTarget();
-		}
-	}
-
 	@Override
 	public void failed(Exception cause) {
-		if (this.listener == null) {
-			this.tcp.close();
-			closeIdle();
-			return;
-		}
 		fail(this.established ? Cause.BROKEN_OFF : Cause.NOT_CONNECTED);
 	}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/http/TargetConnections.java
@@ -37,9 +37,6 @@
 
 	private long opened;
 
-	private Runnable idleEndedListener = () -> {
-	};
-
 	/**
 	 * Creates an empty pool.
 	 * @param loop the event loop
@@ -102,15 +99,6 @@
 		return call;
 	}
 
-	/**
-	 * Sets who is told that the target ended an idle connection which it had promised to
-	 * keep, as it does when its process ends.
-	 * @param listener the listener
-	 */
-	public void onIdleEnded(Runnable listener) {
-		this.idleEndedListener = listener;
-	}
-
 	/**
 	 * Returns the address of the target.
 	 * @return the address
@@ -149,10 +137,6 @@
 		this.idle.addLast(connection);
 	}
 
-	void idleEndedByTarget() {
-		this.idleEndedListener.run();
-	}
-
 	void connectionClosed(ClientConnection connection) {
 		this.idle.remove(connection);
 		this.open.remove(connection);
