Keep what is known of a lease when a part of its range gets a new fence

Cause: a command that gives a range a new fence is proposed for one lease. If the lease is merged with its neighbour before the command is applied (the merge was proposed first, then the owner drained or left grants unanswered), the command concerns a part of a lease. LeaseTable made new leases for both parts that counted as never granted, so they were free at once if the owner drained and couldn't be reached, while it held the keys for up to 3 s.

Change: each part takes over what is known of the leases that its owner had there: the end, the time until which grants may arrive, the request to release. A part whose fence hasn't changed keeps its lease.

Both new tests failed before ("keys 0-99 and 0-99 overlap but are held by two targets, one of which is t-1"; the second with 0-65535) and pass.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyRange.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/KeyRange.java
@@ -40,6 +40,15 @@
 		return this.first <= other.last && other.first <= this.last;
 	}
 
+	/**
+	 * Returns the keys that this range and another have in common.
+	 * @param other the other range, which must overlap with this one
+	 * @return the range of the common keys
+	 */
+	public KeyRange intersection(KeyRange other) {
+		return new KeyRange(Math.max(this.first, other.first), Math.min(this.last, other.last));
+	}
+
 	/**
 	 * Returns the number of keys in the range.
 	 * @return the number of keys
--- a/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/ownership/LeaseTable.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
@@ -109,15 +110,12 @@
 		TreeMap<Integer, RangeLease> leases = this.byService.computeIfAbsent(service, (name) -> new TreeMap<>());
 		List<RangeLease> outdated = leases.values().stream().filter((lease) -> !covers(keys, lease.range())).toList();
 		outdated.forEach((lease) -> leases.remove(lease.range().keys().first()));
-		keys.ranges().forEach((range) -> {
-			List<RangeLease> parts = outdated.stream()
-				.filter((lease) -> lease.range().owner().equals(range.owner())
-						&& lease.range().keys().overlaps(range.keys()))
-				.toList();
-			if (coverExactly(parts, range.keys())) {
-				leases.put(range.keys().first(), RangeLease.mergedWithNewFence(parts, range));
+		keys.ranges().forEach((range) -> uncovered(leases, range.keys()).forEach((part) -> {
+			List<RangeLease> held = heldParts(outdated, range.with(part));
+			if (coverExactly(held, part)) {
+				leases.putAll(continued(held, range.with(part)));
 			}
-		});
+		}));
 		keys.ranges().forEach((range) -> uncovered(leases, range.keys()).forEach((part) -> {
 			long end = (this.initialPhase == RangeLease.Phase.HELD) ? endOfLatestGrant(now) : now;
 			RangeLease lease = new RangeLease(service, range.with(part), this.initialPhase,
@@ -131,6 +129,27 @@
 		}));
 	}
 
+	// Returns the parts of former leases that the owner of a range may hold in it.
+	private static List<RangeLease> heldParts(List<RangeLease> former, OwnedRange range) {
+		return former.stream()
+			.filter((lease) -> lease.range().owner().equals(range.owner()))
+			.filter((lease) -> lease.range().keys().overlaps(range.keys()))
+			.map((lease) -> partOf(lease, lease.range().keys().intersection(range.keys())))
+			.toList();
+	}
+
+	private static RangeLease partOf(RangeLease lease, KeyRange keys) {
+		return lease.range().keys().equals(keys) ? lease : lease.part(keys);
+	}
+
+	// Returns the leases of a range that its owner held before, by their first keys. A
+	// range whose fence hasn't changed keeps its leases.
+	private static Map<Integer, RangeLease> continued(List<RangeLease> parts, OwnedRange range) {
+		boolean sameFence = parts.stream().allMatch((part) -> part.range().fence() == range.fence());
+		return (sameFence ? parts : List.of(RangeLease.mergedWithNewFence(parts, range))).stream()
+			.collect(Collectors.toMap((lease) -> lease.range().keys().first(), (lease) -> lease));
+	}
+
 	/**
 	 * Returns all leases.
 	 * @return the leases
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
@@ -468,6 +468,43 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against two owners of a key: a part of a range gets a new fence after a
+	 * command that merged the range with its neighbour, and its owner, which can't be
+	 * reached, still holds the keys under a former fence.
+	 */
+	@Test
+	void shouldHoldTheKeysOfAnOwnerWhenAPartOfAMergedRangeGetsANewFence() {
+		awaitSingleOwner();
+		this.fleet.commit(new AssignKeys("s", List.of(new Move(new KeyRange(0, 99), new Owner("t-0", 1)))));
+		this.fleet.holdCommits = true;
+		advanceUntilDecision("join");
+		drain("t-0");
+		advanceUntilDecision("refence");
+		this.fleet.partitionedFromControl.add("t-0");
+		join(1);
+		this.fleet.commitAllHeld();
+		this.fleet.advance(8000);
+		assertThat(this.fleet.owners()).containsExactly("t-1");
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
+	/**
+	 * Guards against two owners of a key: a part of a range gets a new fence while its
+	 * owner holds the whole range under the former one.
+	 */
+	@Test
+	void shouldHoldTheKeysOfAnOwnerWhenAPartOfItsRangeGetsANewFence() {
+		awaitSingleOwner();
+		this.fleet.commit(new AssignKeys("s", List.of(new Move(new KeyRange(0, 99), new Owner("t-0", 1)))));
+		this.fleet.partitionedFromControl.add("t-0");
+		drain("t-0");
+		join(1);
+		this.fleet.advance(8000);
+		assertThat(this.fleet.owners()).containsExactly("t-1");
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
 	/**
 	 * Guards against a drain that waits for long after a change of the leader, and
 	 * against keys that aren't served meanwhile.
