--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/RateReservations.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/RateReservations.java
@@ -21,9 +21,7 @@
 
 	/**
 	 * Maximum number of permits that are reserved for later: a fixed number and a part of
-	 * those of a second. With the permits of the next leader, the capacity of a bucket
-	 * and replies that are late by 0.15 s, a target gets at most 1.5 times its rate plus
-	 * 4 in a second.
+	 * those of a second. The next leader grants its own permits beside them.
 	 */
 	private static final double MAX_RESERVED = 3;
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -329,7 +329,7 @@
 		long formerGrantsLeftMillis = this.controller.get().lastLeaseLeftMillis(now);
 		this.controller.get().failureDomains(this.failureDomains);
 		loadConfig();
-		this.domainReturns.passTo(this.controller.get(), coldMillis(), now);
+		this.domainReturns.passTo(this.controller.get(), longestColdMillis(), now);
 		// Entry instances refuse all requests until they have a view, so it is sent
 		// before the controller's first round.
 		this.entries.startLeading(this.controllerTerm);
@@ -460,13 +460,13 @@
 		this.controller.ifPresent((activeController) -> {
 			activeController.commandApplied(command, now);
 			if (command instanceof FleetCommand.SetDomainOut change && !change.out()) {
-				activeController.domainReturned(change.domain(), coldMillis(), now, now);
+				activeController.domainReturned(change.domain(), longestColdMillis(), now, now);
 			}
 		});
 	}
 
 	// Returns the longest cold period of all services, 0 without a configuration.
-	private long coldMillis() {
+	private long longestColdMillis() {
 		return this.config.stream()
 			.flatMap((current) -> current.services().stream())
 			.mapToLong(ServiceSpec::coldMillis)
