Assume that a target that started long ago is warm

A target states when it started. If that is longer ago than its cold period and 10 s, a new leader still says that it only assumes, but assumes that the target is warm. What entry instances were told stays as it is; only those that know nothing are concerned. A target that became cold again without a restart, and that only the former leader knew of, isn't noticed by them. FleetControllerTests.shouldAssumeThatOnlyTargetsThatStartedRecentlyAreCold; tests of cold periods, leadership and views pass.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -78,6 +78,9 @@
 	/** Maximum number of entry instances whose reports are logged as implausible. */
 	private static final int MAX_LOGGED_ENTRIES = 1000;
 
+	/** Maximum difference between the wall clocks of a target and of this instance. */
+	private static final long MAX_CLOCK_DIFFERENCE_MILLIS = 10_000;
+
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final FleetState state;
@@ -165,6 +168,24 @@
 				.ifPresent((health) -> assumeColdPeriod(health, target)));
 	}
 
+	/**
+	 * Takes targets for warm whose cold period after their start has ended, although this
+	 * leader has received no heartbeat of them. To be called by a new leader once it
+	 * knows the services.
+	 * @param wallMillis the wall-clock time in milliseconds
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void assumeWarmIfStartedLongAgo(long wallMillis, long now) {
+		List<FleetTarget> startedLongAgo = this.state.targets()
+			.stream()
+			.filter((target) -> target.born() > 0 && wallMillis - target.born() > MAX_CLOCK_DIFFERENCE_MILLIS
+					+ this.coldMillisByService.getOrDefault(target.service(), 0L))
+			.toList();
+		startedLongAgo.forEach((target) -> health(target, now).startedLongAgo(now));
+		this.output.decision("cold-assumed", "targets", this.state.targets().size(), "started-long-ago",
+				startedLongAgo.size());
+	}
+
 	// A leader that receives no heartbeat of a target doesn't know when it became cold.
 	private TargetHealth assumeColdPeriod(TargetHealth health, FleetTarget target) {
 		health.assumeColdPeriod(this.coldMillisByService.getOrDefault(target.service(), 0L) * NANOS_PER_MILLI);
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -96,6 +96,8 @@
 	// Whether no heartbeat says yet until when the target is cold.
 	private boolean coldAssumed = true;
 
+	private boolean startedLongAgo;
+
 	// When the failure domain of the target returned to service, if it did in this term.
 	private OptionalLong domainReturnedNanos = OptionalLong.empty();
 
@@ -176,11 +178,21 @@
 	// Assumes that the target, unless it was heard, became cold just before this leader
 	// began to observe it.
 	void assumeColdPeriod(long nanos) {
-		if (this.coldAssumed) {
+		if (this.coldAssumed && !this.startedLongAgo) {
 			this.coldUntilNanos = Math.max(this.coldUntilNanos, this.lastHeartbeatNanos + nanos);
 		}
 	}
 
+	// Assumes that the target, unless it was heard, is warm, since the cold period after
+	// its start has ended.
+	void startedLongAgo(long now) {
+		if (this.coldAssumed) {
+			this.startedLongAgo = true;
+			this.coldUntilNanos = now;
+			this.notedColdUntilNanos = now;
+		}
+	}
+
 	// Records that the failure domain of the target has returned to service. The target
 	// may have become cold before, so entry instances have to forget what they knew.
 	void domainReturned(long coldNanos, long returnedNanos) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -16,6 +16,7 @@
 import org.redwingramp.core.fleet.FleetCommand.RecordTarget;
 import org.redwingramp.core.fleet.FleetCommand.SetDomainOut;
 import org.redwingramp.core.fleet.FleetTarget.Stage;
+import org.redwingramp.core.fleet.FleetView.ViewTarget;
 import org.redwingramp.core.observation.Observation;
 import org.redwingramp.core.observation.ObservationKind;
 import org.redwingramp.core.observation.ObservationTable.Observed;
@@ -574,6 +575,23 @@
 		assertThat(coldLeftMillis("t-9")).isEqualTo(12_000);
 	}
 
+	/**
+	 * Guards against warm targets that are limited after a restart of all instances, and
+	 * against a cold one that is flooded then.
+	 */
+	@Test
+	void shouldAssumeThatOnlyTargetsThatStartedRecentlyAreCold() {
+		long started = 1_000_000;
+		this.fleet.join("t-old", started, "10.0.0.8:80");
+		this.fleet.join("t-new", started + 30_000, "10.0.0.9:80");
+		this.fleet.startLeadership();
+		this.fleet.controller.assumeWarmIfStartedLongAgo(started + 31_000, this.fleet.now);
+		this.fleet.configure(this.fleet.mode);
+		assertThat(coldLeftMillis("t-old")).isZero();
+		assertThat(coldLeftMillis("t-new")).isPositive();
+		assertThat(this.fleet.controller.viewTargets(this.fleet.now)).allMatch(ViewTarget::coldAssumed);
+	}
+
 	/** Guards against a target that is cold for longer than it was limited. */
 	@Test
 	void shouldFollowAHeartbeatAfterTheReturnOfItsDomainThatStatesALongerColdPeriod() {
