Record whether a target is warm instead of judging by its start time

Cause: after a loss of all instances a new leader took a target for warm if its start lay further back than its cold period and 10 s, by its own wall clock. Nothing bounds the difference of clocks. Change: the record of a target contains whether it last stated to be warm, and the number of that heartbeat. The heartbeat that changes it is acknowledged once that is committed, and the return of a failure domain unsets it. A new leader assumes what was recorded, without any clock, and ignores heartbeats older than the recorded one. A target that joins just after its domain returned counts as cold, and an entry instance that missed the last view of the former leader assumes that a target recorded as cold is cold. Records and views of an earlier build lack the fields: not warm.

FleetControllerTests.shouldAssumeThatOnlyTargetsThatStartedRecentlyAreCold asked for the judgement by clocks and is replaced by shouldAssumeThatOnlyTargetsThatStatedItAreWarm, for three start times.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
@@ -2,9 +2,9 @@
 
 /**
  * What is known of the time for which one incarnation of a target is cold, that is,
- * warming up: until when, by whose word, and since when. Invariants: an assumption never
- * replaces a statement; a leader never shortens what an earlier one stated. Reads no
- * clock. Not thread safe.
+ * warming up: until when, by whose word, and since when. Invariants: an assumption
+ * replaces a statement only if it rests on a later record; a leader never shortens what
+ * an earlier one stated. Reads no clock. Not thread safe.
  */
 public final class ColdPeriod {
 
@@ -42,17 +42,20 @@
 	 * Records what a view of the control leader contains of the incarnation.
 	 * @param leftMillis the remaining time in milliseconds, 0 if the target is warm
 	 * @param assumed whether the leader assumes it because it has received no heartbeat
+	 * @param recorded whether it assumes that the target is cold because an earlier
+	 * leader has recorded it
 	 * @param returns whether the target returns to service with this view
 	 * @param viewTerm the term of the leader
 	 * @param now the monotonic time in nanoseconds
 	 */
-	public void viewed(long leftMillis, boolean assumed, boolean returns, long viewTerm, long now) {
+	public void viewed(long leftMillis, boolean assumed, boolean recorded, boolean returns, long viewTerm, long now) {
 		if (!assumed) {
 			stated(leftMillis, viewTerm, now);
 			return;
 		}
-		// While it got no requests, it may have become cold.
-		if (returns) {
+		// While it got no requests, it may have become cold. What was recorded is later
+		// than a statement that it is warm, unless the record of that was lost.
+		if (returns || (recorded && !cold(now))) {
 			forget();
 		}
 		assumed(leftMillis, now);
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -78,9 +78,6 @@
 	/** Maximum number of entry instances whose reports are logged as implausible. */
 	private static final int MAX_LOGGED_ENTRIES = 1000;
 
-	/** Maximum difference between the wall clocks of a target and of this instance. */
-	private static final long MAX_CLOCK_DIFFERENCE_MILLIS = 10_000;
-
 	private static final long NANOS_PER_MILLI = 1_000_000L;
 
 	private final FleetState state;
@@ -121,6 +118,8 @@
 
 	private Map<String, Long> coldMillisByService = Map.of();
 
+	private final Map<String, DomainReturn> returnByDomain = new HashMap<>();
+
 	private long lastBalanceNanos;
 
 	private long lastTargetChangeNanos;
@@ -144,8 +143,9 @@
 		this.grantModes = new GrantModes(state, this.leases, output);
 		this.callDelivery = new CallDelivery(this, state, this.leases, output);
 		this.heartbeatDelivery = new HeartbeatDelivery(this, this.leases, output, timing);
-		state.targets()
-			.forEach((target) -> this.healthByTarget.put(target.name(), TargetHealth.adopted(target.born(), now)));
+		state.targets().forEach((target) -> this.healthByTarget.put(target.name(), TargetHealth.adopted(target, now)));
+		output.decision("cold-assumed", "targets", state.targets().size(), "recorded-warm",
+				state.targets().stream().filter(FleetTarget::warm).count());
 		state.keyedServices().forEach((service) -> {
 			this.leases.adopt(service, state.keys(service), state.mayHaveCalls(service), now);
 			this.leases.quarantine(service, state.keys(service).gaps(), now);
@@ -168,24 +168,6 @@
 				.ifPresent((health) -> assumeColdPeriod(health, target)));
 	}
 
-	/**
-	 * Takes targets for warm whose cold period after their start has ended, although this
-	 * leader has received no heartbeat of them. To be called by a new leader once it
-	 * knows the services.
-	 * @param wallMillis the wall-clock time in milliseconds
-	 * @param now the monotonic time in nanoseconds
-	 */
-	public void assumeWarmIfStartedLongAgo(long wallMillis, long now) {
-		List<FleetTarget> startedLongAgo = this.state.targets()
-			.stream()
-			.filter((target) -> target.born() > 0 && wallMillis - target.born() > MAX_CLOCK_DIFFERENCE_MILLIS
-					+ this.coldMillisByService.getOrDefault(target.service(), 0L))
-			.toList();
-		startedLongAgo.forEach((target) -> health(target, now).startedLongAgo(now));
-		this.output.decision("cold-assumed", "targets", this.state.targets().size(), "started-long-ago",
-				startedLongAgo.size());
-	}
-
 	// A leader that receives no heartbeat of a target doesn't know when it became cold.
 	private TargetHealth assumeColdPeriod(TargetHealth health, FleetTarget target) {
 		health.assumeColdPeriod(this.coldMillisByService.getOrDefault(target.service(), 0L) * NANOS_PER_MILLI);
@@ -243,16 +225,17 @@
 		}
 		if (!current) {
 			this.observations.targetJoined(target.name(), now);
-			TargetHealth health = TargetHealth.joined(target.born(), now);
-			health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now);
+			TargetHealth health = joined(target, now);
+			health.recordFirstHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now);
 			this.healthByTarget.put(target.name(), health);
 			logColdPeriod(target, health, "joined", now);
 			// Entry instances may know the former incarnation as a warm target.
 			this.viewChanges++;
-			return this.targets.record(target);
+			return this.targets.record(target.withWarmth(health.reliablyWarm(now), heartbeat.sequence()));
 		}
-		recordHeartbeat(heartbeat, known.get(), now);
-		return this.targets.record(known.get().atLeast(target.stage()));
+		FleetTarget recorded = known.get().atLeast(target.stage());
+		return this.targets.record(recordHeartbeat(heartbeat, known.get(), now)
+				? recorded.withWarmth(health(known.get(), now).reliablyWarm(now), heartbeat.sequence()) : recorded);
 	}
 
 	/**
@@ -396,7 +379,7 @@
 			quarantineUnknownOwners(record.target(), now);
 			if (health == null || health.born() != record.target().born()) {
 				this.healthByTarget.put(record.target().name(),
-						assumeColdPeriod(TargetHealth.joined(record.target().born(), now), record.target()));
+						assumeColdPeriod(joined(record.target(), now), record.target()));
 			}
 			this.lastTargetChangeNanos = now;
 			this.viewChanges++;
@@ -467,6 +450,7 @@
 	 * @param now the monotonic time in nanoseconds
 	 */
 	public void domainReturned(String domain, long coldMillis, long returnedNanos, long now) {
+		this.returnByDomain.put(domain, new DomainReturn(coldMillis * NANOS_PER_MILLI, returnedNanos));
 		this.state.targets()
 			.stream()
 			.filter((target) -> target.domain().equals(domain) && this.healthByTarget.containsKey(target.name()))
@@ -628,9 +612,9 @@
 	}
 
 	private ViewTarget viewTarget(FleetTarget target, long now) {
+		TargetHealth health = health(target, now);
 		return new ViewTarget(target.name(), target.service(), target.address(), target.domain(), target.slots(),
-				usable(target), health(target, now).coldLeftMillis(now), target.born(),
-				health(target, now).coldAssumed());
+				usable(target), health.coldLeftMillis(now), target.born(), health.coldAssumed(), health.coldRecorded());
 	}
 
 	/**
@@ -657,12 +641,13 @@
 		return merged;
 	}
 
-	private void recordHeartbeat(TargetHeartbeat heartbeat, FleetTarget known, long now) {
+	// Returns false for a heartbeat that isn't newer than all received before.
+	private boolean recordHeartbeat(TargetHeartbeat heartbeat, FleetTarget known, long now) {
 		TargetHealth health = health(known, now);
 		boolean wasCold = health.cold(now);
 		boolean wasAssumed = health.coldAssumed();
 		if (!health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now)) {
-			return;
+			return false;
 		}
 		boolean endMoved = health.coldEndMoved(now);
 		if (endMoved || wasCold != health.cold(now) || wasAssumed) {
@@ -672,6 +657,7 @@
 		if (grantedByHeartbeat(known.service()) && this.heartbeatDelivery.reported(known, heartbeat.keys())) {
 			assignUnownedRanges(known.service(), now);
 		}
+		return true;
 	}
 
 	private void logColdPeriod(FleetTarget target, TargetHealth health, String cause, long now) {
@@ -761,7 +747,16 @@
 	// A target has no health yet if following the command that recorded it failed.
 	TargetHealth health(FleetTarget target, long now) {
 		return this.healthByTarget.computeIfAbsent(target.name(),
-				(name) -> assumeColdPeriod(TargetHealth.joined(target.born(), now), target));
+				(name) -> assumeColdPeriod(joined(target, now), target));
+	}
+
+	// The first heartbeat of a target may have been sent before its domain returned, too.
+	private TargetHealth joined(FleetTarget target, long now) {
+		TargetHealth health = TargetHealth.joined(target.born(), now);
+		Optional.ofNullable(this.returnByDomain.get(target.domain()))
+			.filter((last) -> now - last.returnedNanos() < last.coldNanos())
+			.ifPresent((last) -> health.domainReturned(last.coldNanos(), last.returnedNanos()));
+		return health;
 	}
 
 	void proposeHigherFence(RangeLease lease) {
@@ -980,4 +975,13 @@
 		return keys.first() + "-" + keys.last();
 	}
 
+	/**
+	 * The last return of a failure domain to service.
+	 *
+	 * @param coldNanos the time for which its targets count as cold, in nanoseconds
+	 * @param returnedNanos when it returned, as monotonic time in nanoseconds
+	 */
+	private record DomainReturn(long coldNanos, long returnedNanos) {
+	}
+
 }
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetState.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetState.java
@@ -237,6 +237,9 @@
 		}
 		else {
 			this.domainsOut.remove(change.domain());
+			// Without requests, its targets may have become cold.
+			this.targets.replaceAll((name, target) -> target.domain().equals(change.domain())
+					? target.withWarmth(false, target.warmthSequence()) : target);
 		}
 	}
 
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetView.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetView.java
@@ -78,9 +78,30 @@
 	 * isn't known
 	 * @param coldAssumed whether the leader assumes that the target is cold because it
 	 * has received no heartbeat of it; an earlier leader may have stated the truth
+	 * @param coldRecorded whether it assumes so because an earlier leader has recorded
+	 * it, which outdates a statement that the target is warm
 	 */
 	public record ViewTarget(String name, String service, String address, String domain, int slots, boolean usable,
-			long coldLeftMillis, long born, boolean coldAssumed) {
+			long coldLeftMillis, long born, boolean coldAssumed, boolean coldRecorded) {
+
+		/**
+		 * Creates a target of which no earlier leader has recorded that it is cold.
+		 * @param name the target's name
+		 * @param service the name of the service
+		 * @param address the address for requests, {@code ip:port}
+		 * @param domain the failure domain
+		 * @param slots the maximum number of requests that it processes concurrently
+		 * @param usable whether new requests may be sent to it
+		 * @param coldLeftMillis the remaining time for which the target is cold, in
+		 * milliseconds, 0 if it is warm
+		 * @param born identifies the incarnation of the target by its start time
+		 * @param coldAssumed whether the leader assumes that the target is cold
+		 */
+		public ViewTarget(String name, String service, String address, String domain, int slots, boolean usable,
+				long coldLeftMillis, long born, boolean coldAssumed) {
+			this(name, service, address, domain, slots, usable, coldLeftMillis, born, coldAssumed, false);
+		}
+
 	}
 
 	/**
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -76,6 +76,9 @@
 
 	private long lastSequence = Long.MIN_VALUE;
 
+	// The number of the last heartbeat that an earlier leader recorded.
+	private long recordedSequence;
+
 	private long lastHeartbeatNanos;
 
 	private double intervalNanos = INITIAL_INTERVAL_NANOS;
@@ -96,18 +99,30 @@
 	// Whether no heartbeat says yet until when the target is cold.
 	private boolean coldAssumed = true;
 
-	private boolean startedLongAgo;
+	// Whether it is assumed to be warm until a heartbeat says until when it is cold.
+	private boolean warmAssumed;
 
 	// When the failure domain of the target returned to service, if it did in this term.
 	private OptionalLong domainReturnedNanos = OptionalLong.empty();
 
+	// The end of the cold period that follows from that.
+	private long domainReturnColdUntilNanos;
+
 	private long refusesUntilNanos;
 
 	private double slowness = 1;
 
-	// Returns the health of an incarnation that an earlier leader recorded.
-	static TargetHealth adopted(long born, long now) {
-		return new TargetHealth(born, OptionalLong.empty(), now);
+	// Returns the health of an incarnation that an earlier leader recorded. It is assumed
+	// to be warm if that is the last that was recorded of it.
+	static TargetHealth adopted(FleetTarget target, long now) {
+		TargetHealth health = new TargetHealth(target.born(), OptionalLong.empty(), now);
+		health.recordedSequence = target.warmthSequence();
+		if (target.warm()) {
+			health.warmAssumed = true;
+			health.coldUntilNanos = now;
+			health.notedColdUntilNanos = now;
+		}
+		return health;
 	}
 
 	// Returns the health of an incarnation that this leader hears of for the first time.
@@ -115,6 +130,13 @@
 		return new TargetHealth(born, OptionalLong.of(now), now);
 	}
 
+	// Records the first heartbeat of an incarnation that no leader has recorded. However
+	// late it is, none before it shows that.
+	void recordFirstHeartbeat(long sequence, long coldLeftNanos, long now) {
+		recordHeartbeat(sequence, coldLeftNanos, now);
+		this.coldUntilNanos = Math.max(this.domainReturnColdUntilNanos, now + coldLeftNanos);
+	}
+
 	private TargetHealth(long born, OptionalLong joinedNanos, long now) {
 		this.born = born;
 		this.joinedNanos = joinedNanos;
@@ -123,6 +145,7 @@
 		this.lastReplyNanos = now - LOST_AFTER_NANOS;
 		this.coldUntilNanos = now + MIN_ASSUMED_COLD_NANOS;
 		this.notedColdUntilNanos = this.coldUntilNanos;
+		this.domainReturnColdUntilNanos = now;
 		this.refusesUntilNanos = now;
 	}
 
@@ -138,7 +161,7 @@
 
 	// Returns false for a heartbeat that isn't newer than all received before.
 	boolean recordHeartbeat(long sequence, long coldLeftNanos, long now) {
-		if (sequence <= this.lastSequence) {
+		if (sequence <= this.lastSequence || (this.recordedSequence > 0 && sequence <= this.recordedSequence)) {
 			return false;
 		}
 		long interval = now - this.lastHeartbeatNanos;
@@ -178,19 +201,15 @@
 	// Assumes that the target, unless it was heard, became cold just before this leader
 	// began to observe it.
 	void assumeColdPeriod(long nanos) {
-		if (this.coldAssumed && !this.startedLongAgo) {
+		if (this.coldAssumed && !this.warmAssumed) {
 			this.coldUntilNanos = Math.max(this.coldUntilNanos, this.lastHeartbeatNanos + nanos);
 		}
 	}
 
-	// Assumes that the target, unless it was heard, is warm, since the cold period after
-	// its start has ended.
-	void startedLongAgo(long now) {
-		if (this.coldAssumed) {
-			this.startedLongAgo = true;
-			this.coldUntilNanos = now;
-			this.notedColdUntilNanos = now;
-		}
+	// Returns whether the target is known or assumed to be warm, and no heartbeat that
+	// says so may be older than the return of its failure domain.
+	boolean reliablyWarm(long now) {
+		return !cold(now) && !mayPrecedeReturn(now);
 	}
 
 	// Records that the failure domain of the target has returned to service. The target
@@ -199,6 +218,7 @@
 		this.coldUntilNanos = Math.max(this.coldUntilNanos, returnedNanos + coldNanos);
 		this.coldAssumed = false;
 		this.domainReturnedNanos = OptionalLong.of(returnedNanos);
+		this.domainReturnColdUntilNanos = returnedNanos + coldNanos;
 	}
 
 	void recordResponses(String entry, double expectedMillis, double elapsedMillis, long now) {
@@ -250,6 +270,11 @@
 		return this.coldAssumed;
 	}
 
+	// Returns whether it is assumed to be cold because an earlier leader recorded it.
+	boolean coldRecorded() {
+		return this.coldAssumed && !this.warmAssumed && this.recordedSequence > 0;
+	}
+
 	long coldLeftMillis(long now) {
 		return Math.max(0, (this.coldUntilNanos - now) / NANOS_PER_MILLI);
 	}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/ViewState.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/ViewState.java
@@ -182,7 +182,7 @@
 		private ViewTarget withoutColdTime() {
 			return new ViewTarget(this.target.name(), this.target.service(), this.target.address(),
 					this.target.domain(), this.target.slots(), this.target.usable(), 0, this.target.born(),
-					this.target.coldAssumed());
+					this.target.coldAssumed(), this.target.coldRecorded());
 		}
 
 	}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/ColdPeriodTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/ColdPeriodTests.java
@@ -43,7 +43,7 @@
 	}
 
 	private void stated(long leftMillis, long now) {
-		this.period.viewed(leftMillis, false, false, 1, now);
+		this.period.viewed(leftMillis, false, false, false, 1, now);
 	}
 
 }
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdEntry.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdEntry.java
@@ -189,7 +189,8 @@
 				&& present.view.address().equals(next.address())) ? present : new Known(next, now());
 		boolean returns = next.usable() && !target.view.usable();
 		target.view = next;
-		target.coldPeriod.viewed(next.coldLeftMillis(), next.coldAssumed(), returns, viewTerm, now());
+		target.coldPeriod.viewed(next.coldLeftMillis(), next.coldAssumed(), next.coldRecorded(), returns, viewTerm,
+				now());
 		this.fleet.trace(() -> "entry " + this.number + ": view of " + next + ", now "
 				+ target.coldPeriod.leftMillis(now()) + " " + target.coldPeriod.source());
 		return target;
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdFleet.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.BiConsumer;
@@ -61,7 +63,10 @@
 
 	private final ToldFacts committedFacts = new ToldFacts();
 
-	private final DomainReturns domainReturns = new DomainReturns();
+	// When the heartbeat was sent by which a target was recorded, by command.
+	private final Map<FleetCommand, Long> heartbeatNanos = new IdentityHashMap<>();
+
+	private DomainReturns domainReturns = new DomainReturns();
 
 	private final Deque<FleetCommand> proposed = new ArrayDeque<>();
 
@@ -144,6 +149,21 @@
 		return former;
 	}
 
+	// All control replicas and entry instances are lost and start again. The log is what
+	// remains of what they knew.
+	void loseAllInstances(int downMillis) {
+		trace(() -> "all instances are lost");
+		endLeadership(downMillis);
+		this.domainReturns = new DomainReturns();
+		this.leaders.forEach((lost) -> lost.alive = false);
+		this.entries.forEach((entry) -> entry.restart(downMillis));
+	}
+
+	void proposedByHeartbeat(ColdLeader proposer, FleetCommand command, long sentNanos) {
+		this.heartbeatNanos.put(command, sentNanos);
+		proposed(proposer, command);
+	}
+
 	void proposed(ColdLeader proposer, FleetCommand command) {
 		if (this.leader.filter((current) -> current == proposer).isEmpty()) {
 			return;
@@ -165,6 +185,8 @@
 		this.domainReturns.applied(command, this.time.now());
 		if (command instanceof RecordTarget record) {
 			this.committedFacts.started(record.target());
+			Optional.ofNullable(this.heartbeatNanos.remove(command))
+				.ifPresent((sentNanos) -> this.committedFacts.heartbeat(record.target(), sentNanos));
 		}
 		else if (command instanceof SetDomainOut change && change.out()) {
 			this.committedFacts.evacuated(change.domain());
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdLeader.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdLeader.java
@@ -112,8 +112,9 @@
 	void heartbeat(TargetHeartbeat heartbeat, long sentNanos) {
 		long now = this.fleet.time.now();
 		if (this.controller.objectionTo(heartbeat, now / SimulatedTime.MS).isEmpty()) {
-			this.facts.heartbeat(heartbeat, sentNanos);
-			this.controller.heartbeat(heartbeat, now).ifPresent(this::propose);
+			this.facts.heartbeat(heartbeat.target(), sentNanos);
+			this.controller.heartbeat(heartbeat, now)
+				.ifPresent((command) -> this.fleet.proposedByHeartbeat(this, command, sentNanos));
 		}
 	}
 
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdTargetFloodTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdTargetFloodTests.java
@@ -39,12 +39,43 @@
 	void shouldNotFloodColdTargets() {
 		long first = Long.getLong("cold-flood.first", 0);
 		List<String> failures = LongStream.range(first, first + Long.getLong("cold-flood.seeds", 150))
-			.mapToObj(ColdTargetFloodTests::failureOf)
+			.mapToObj((seed) -> failureOf(seed, false))
 			.filter((failure) -> !failure.isEmpty())
 			.toList();
 		assertThat(failures).as("%d seeds fail", failures.size()).isEmpty();
 	}
 
+	/**
+	 * Guards against a flood of a cold target after all instances were lost at once, when
+	 * only the log says what is known of it.
+	 */
+	@Test
+	void shouldNotFloodColdTargetsAfterALossOfAllInstances() {
+		long first = Long.getLong("cold-flood.first", 0);
+		List<String> failures = LongStream.range(first, first + Long.getLong("cold-flood.seeds", 150))
+			.mapToObj((seed) -> failureOf(seed, true))
+			.filter((failure) -> !failure.isEmpty())
+			.toList();
+		assertThat(failures).as("%d seeds fail", failures.size()).isEmpty();
+	}
+
+	/**
+	 * Guards against warm targets that are limited after a loss of all instances, until
+	 * their heartbeats have found the new leader.
+	 */
+	@Test
+	void shouldServeAtTheFullRateAfterALossOfAllInstances() {
+		LongStream.range(0, 10).forEach((seed) -> {
+			ColdFleet fleet = new ColdFleet(seed, 8);
+			fleet.advance(CALM_MILLIS);
+			fleet.targets.forEach((target) -> target.cutFromControl = true);
+			fleet.loseAllInstances(300);
+			fleet.advance(1000);
+			fleet.loadFactor = 2.5;
+			checkFullService(fleet);
+		});
+	}
+
 	/**
 	 * Guards against a limit for warm targets while a new leader has heard of none: what
 	 * the former leader stated of them still holds.
@@ -62,14 +93,14 @@
 	}
 
 	// Returns the seed and the reason for which its run failed, empty if it passed.
-	private static String failureOf(long seed) {
+	private static String failureOf(long seed, boolean losses) {
 		List<String> trace = new ArrayList<>();
 		ColdFleet fleet = new ColdFleet(seed, 6 + (int) (seed % 3));
 		if (Boolean.getBoolean("cold-flood.trace")) {
 			fleet.traceTo(trace);
 		}
 		try {
-			play(fleet, new Random(seed + 1));
+			play(fleet, new Random(seed + 1), losses);
 			if (Boolean.getBoolean("cold-flood.figures")) {
 				System.out.println("seed " + seed + ": most " + fleet.check.most() + ", excused "
 						+ fleet.check.excused() + ", served " + fleet.served() + " of " + fleet.requests());
@@ -82,11 +113,16 @@
 		}
 	}
 
-	private static void play(ColdFleet fleet, Random faults) {
+	private static void play(ColdFleet fleet, Random faults, boolean losses) {
 		fleet.advance(4000);
 		fleet.heartbeatLoss = 0.3 * faults.nextDouble();
 		IntStream.range(0, ROUNDS).forEach((round) -> {
-			disturb(fleet, faults);
+			if (losses && faults.nextInt(5) == 0) {
+				fleet.loseAllInstances(100 + faults.nextInt(900));
+			}
+			else {
+				disturb(fleet, faults);
+			}
 			fleet.advance(faults.nextBoolean() ? faults.nextInt(200) : 100 + faults.nextInt(1200));
 		});
 		fleet.advance(2000);
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.redwingramp.core.fleet.EntryReport.KeyUse;
 import org.redwingramp.core.fleet.EntryReport.TargetUse;
@@ -364,7 +365,7 @@
 		Stream.of(heartbeat(joining, 1), heartbeat(joining.with(Stage.DRAINING), 3), heartbeat(joining, 2))
 			.flatMap(Optional::stream)
 			.forEach(this.fleet::commit);
-		assertThat(this.fleet.state.target("t-9")).contains(joining.with(Stage.DRAINING));
+		assertThat(this.fleet.state.target("t-9")).contains(joining.with(Stage.DRAINING).withWarmth(true, 1));
 	}
 
 	/** Guards against a departure that a heartbeat of the same target undoes. */
@@ -387,7 +388,7 @@
 	void shouldProposeATargetAgainAfterItsCommandWasRejected() {
 		FleetTarget joining = new FleetTarget("t-9", 9, "s", "10.0.0.9:80", "d-3", 3, Stage.SERVING);
 		this.fleet.controller.commandRejected(heartbeat(joining, 1).orElseThrow());
-		assertThat(heartbeat(joining, 2)).contains(new RecordTarget(joining));
+		assertThat(heartbeat(joining, 2)).contains(new RecordTarget(joining.withWarmth(true, 2)));
 	}
 
 	private Optional<FleetCommand> heartbeat(FleetTarget target, long sequence) {
@@ -395,6 +396,11 @@
 				this.fleet.now);
 	}
 
+	private Optional<FleetCommand> coldHeartbeat(FleetTarget target, long sequence) {
+		return this.fleet.controller.heartbeat(new TargetHeartbeat(target, 3000, sequence, KeyReport.EMPTY),
+				this.fleet.now);
+	}
+
 	/**
 	 * Guards against a heartbeat that changes the service or address of a running target,
 	 * and against a start time that outdates all heartbeats to come.
@@ -540,6 +546,21 @@
 		assertThat(coldLeftMillis("t-long")).isZero();
 	}
 
+	/**
+	 * Guards against a cold target that is flooded because it is heard for the first time
+	 * just after its failure domain returned, by a heartbeat that was sent before.
+	 */
+	@Test
+	void shouldTreatATargetThatJoinsJustAfterTheReturnOfItsDomainAsCold() {
+		this.fleet.controller.domainReturned("d-6", FakeFleet.COLD_MILLIS, this.fleet.now, this.fleet.now);
+		this.fleet.now += 200 * FakeFleet.MS;
+		this.fleet.join("t-long", 1, "10.0.0.9:80");
+		assertThat(coldLeftMillis("t-long")).isEqualTo(FakeFleet.COLD_MILLIS - 200);
+		this.fleet.now += FakeFleet.COLD_MILLIS * FakeFleet.MS;
+		this.fleet.join("t-late", 1, "10.0.1.9:80");
+		assertThat(coldLeftMillis("t-late")).isZero();
+	}
+
 	/**
 	 * Guards against a cold target that is flooded when its failure domain returns to
 	 * service, because a new leader knows of the return as little as the heartbeat that
@@ -567,6 +588,7 @@
 	 */
 	@Test
 	void shouldAssumeTheWholeColdPeriodOfTheService() {
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-0").orElseThrow(), 1000);
 		this.fleet.startLeadership();
 		this.fleet.controller.services(List.of(new ServiceSpec("s", "/", 1, true, 20_000, 10, 0, GrantMode.CALL)));
 		this.fleet.commit(new RecordTarget(new FleetTarget("t-9", 1, "s", "10.0.0.9:80", "d", 3, Stage.SERVING)));
@@ -577,21 +599,79 @@
 
 	/**
 	 * Guards against warm targets that are limited after a restart of all instances, and
-	 * against a cold one that is flooded then.
+	 * against a cold one that is flooded then because its clock differs.
 	 */
-	@Test
-	void shouldAssumeThatOnlyTargetsThatStartedRecentlyAreCold() {
-		long started = 1_000_000;
-		this.fleet.join("t-old", started, "10.0.0.8:80");
-		this.fleet.join("t-new", started + 30_000, "10.0.0.9:80");
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 100_000, 50_000_000 })
+	void shouldAssumeThatOnlyTargetsThatStatedItAreWarm(long born) {
+		FleetTarget cold = new FleetTarget("t-cold", born, "s", "10.0.0.8:80", "d", 3, Stage.SERVING);
+		this.fleet.sendHeartbeat(cold, 3000);
+		this.fleet.join("t-warm", born, "10.0.0.9:80");
 		this.fleet.startLeadership();
-		this.fleet.controller.assumeWarmIfStartedLongAgo(started + 31_000, this.fleet.now);
-		this.fleet.configure(this.fleet.mode);
-		assertThat(coldLeftMillis("t-old")).isZero();
-		assertThat(coldLeftMillis("t-new")).isPositive();
+		assertThat(coldLeftMillis("t-cold")).isPositive();
+		assertThat(coldLeftMillis("t-warm")).isZero();
 		assertThat(this.fleet.controller.viewTargets(this.fleet.now)).allMatch(ViewTarget::coldAssumed);
 	}
 
+	/**
+	 * Guards against a target that is flooded because it became cold again before all
+	 * instances were lost, and against one that is limited although it is warm again.
+	 */
+	@Test
+	void shouldAssumeWhatATargetStatedLast() {
+		this.fleet.join("t-9", 1, "10.0.0.9:80");
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-9").orElseThrow(), 3000);
+		this.fleet.startLeadership();
+		assertThat(coldLeftMillis("t-9")).isPositive();
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-9").orElseThrow(), 0);
+		this.fleet.startLeadership();
+		assertThat(coldLeftMillis("t-9")).isZero();
+	}
+
+	/** Guards against a cold target that counts as warm by what it stated earlier. */
+	@Test
+	void shouldNotRecordThatATargetIsWarmByAnOutdatedHeartbeat() {
+		FleetTarget target = new FleetTarget("t-9", 1, "s", "10.0.0.9:80", "d", 3, Stage.SERVING);
+		this.fleet.sendHeartbeat(target, 3000);
+		this.fleet.sendHeartbeat(target, 2500);
+		assertThat(heartbeat(target, 1)).isEmpty();
+		assertThat(this.fleet.state.target("t-9").orElseThrow().warm()).isFalse();
+	}
+
+	/**
+	 * Guards against a cold target that is flooded because the first heartbeat that a new
+	 * leader gets was sent before one that the former leader has recorded.
+	 */
+	@Test
+	void shouldIgnoreAHeartbeatThatIsOlderThanTheOneRecordedByAFormerLeader() {
+		FleetTarget target = new FleetTarget("t-9", 1, "s", "10.0.0.9:80", "d", 3, Stage.SERVING);
+		Stream.of(heartbeat(target, 3), coldHeartbeat(target, 5)).flatMap(Optional::stream).forEach(this.fleet::commit);
+		this.fleet.startLeadership();
+		assertThat(heartbeat(target, 4)).isEmpty();
+		assertThat(coldLeftMillis("t-9")).isPositive();
+		assertThat(heartbeat(target, 6)).contains(new RecordTarget(target.withWarmth(true, 6)));
+		assertThat(coldLeftMillis("t-9")).isZero();
+	}
+
+	/**
+	 * Guards against a cold target that counts as warm after a restart of all instances,
+	 * by a heartbeat that was sent before its failure domain returned.
+	 */
+	@Test
+	void shouldRecordThatATargetIsWarmOnceItsHeartbeatIsLaterThanTheReturnOfItsDomain() {
+		this.fleet.join("t-long", 1, "10.0.0.9:80");
+		this.fleet.commit(new SetDomainOut("d-6", true));
+		this.fleet.commit(new SetDomainOut("d-6", false));
+		assertThat(this.fleet.state.target("t-long").orElseThrow().warm()).isFalse();
+		this.fleet.controller.domainReturned("d-6", FakeFleet.COLD_MILLIS, this.fleet.now, this.fleet.now);
+		this.fleet.now += 900 * FakeFleet.MS;
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-long").orElseThrow(), 0);
+		assertThat(this.fleet.state.target("t-long").orElseThrow().warm()).isFalse();
+		this.fleet.now += 200 * FakeFleet.MS;
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-long").orElseThrow(), 0);
+		assertThat(this.fleet.state.target("t-long").orElseThrow().warm()).isTrue();
+	}
+
 	/** Guards against a target that is cold for longer than it was limited. */
 	@Test
 	void shouldFollowAHeartbeatAfterTheReturnOfItsDomainThatStatesALongerColdPeriod() {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetStateTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetStateTests.java
@@ -124,6 +124,22 @@
 		assertThat(restored.snapshot().targets()).isEqualTo(this.state.snapshot().targets());
 	}
 
+	/**
+	 * Guards against a cold target that counts as warm after a restart of all instances:
+	 * without requests, it may have become cold while its domain was out of service.
+	 */
+	@Test
+	void shouldForgetThatTargetsAreWarmWhenTheirDomainReturns() {
+		FleetTarget target = record("t-1", 1, Stage.SERVING).withWarmth(true, 7);
+		FleetTarget other = new FleetTarget("t-2", 1, "s", "10.0.0.1:2", "other", 3, Stage.SERVING).withWarmth(true, 7);
+		this.state.apply(new RecordTarget(target));
+		this.state.apply(new RecordTarget(other));
+		this.state.apply(new SetDomainOut("d", true));
+		assertThat(this.state.target("t-1")).contains(target);
+		this.state.apply(new SetDomainOut("d", false));
+		assertThat(new FleetState(this.state.snapshot()).targets()).containsExactly(target.withWarmth(false, 7), other);
+	}
+
 	private FleetResult replace(long base, long version, String document) {
 		return this.state.apply(new ReplaceConfig(base, version, bytes(document)));
 	}
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ToldFacts.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ToldFacts.java
@@ -39,9 +39,9 @@
 		return this.snapshot.get();
 	}
 
-	void heartbeat(TargetHeartbeat heartbeat, long sentNanos) {
-		this.heartbeats.merge(heartbeat.target().name(), sentNanos, Math::max);
-		started(heartbeat.target());
+	void heartbeat(FleetTarget sender, long sentNanos) {
+		this.heartbeats.merge(sender.name(), sentNanos, Math::max);
+		started(sender);
 	}
 
 	void started(FleetTarget target) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -329,7 +329,6 @@
 		long formerGrantsLeftMillis = this.controller.get().lastLeaseLeftMillis(now);
 		this.controller.get().failureDomains(this.failureDomains);
 		loadConfig();
-		this.controller.get().assumeWarmIfStartedLongAgo(System.currentTimeMillis(), now);
 		this.domainReturns.passTo(this.controller.get(), longestColdMillis(), now);
 		// Entry instances refuse all requests until they have a view, so it is sent
 		// before the controller's first round.
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryTarget.java
@@ -57,7 +57,7 @@
 		boolean wasCold = cold(now);
 		boolean returns = next.usable() && !this.view.usable();
 		this.view = next;
-		this.coldPeriod.viewed(next.coldLeftMillis(), next.coldAssumed(), returns, term, now);
+		this.coldPeriod.viewed(next.coldLeftMillis(), next.coldAssumed(), next.coldRecorded(), returns, term, now);
 		return wasCold || cold(now);
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/DomainReturnTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/DomainReturnTests.java
@@ -39,13 +39,13 @@
 			assertThat(control.call("out d")).startsWith("ACCEPTED");
 			assertThat(control.call("in d")).startsWith("ACCEPTED");
 			long term = depose(control);
-			ViewTarget next = target(control, term + 1);
+			ViewTarget next = target(control, REPLICA, term + 1);
 			assertThat(next.coldLeftMillis()).isGreaterThan(TextDialect.COLD_MILLIS / 2);
 			assertThat(next.coldAssumed()).isFalse();
 			control.stop(REPLICA);
 			control.start(REPLICA, true);
 			// What is assumed limits no target of which an entry instance knows better.
-			assertThat(target(control, term + 2).coldAssumed()).isTrue();
+			assertThat(target(control, REPLICA, term + 2).coldAssumed()).isTrue();
 		}
 	}
 
@@ -64,9 +64,9 @@
 
 	// Returns the target in the first view of a leader with the given term or a later
 	// one.
-	private static ViewTarget target(ControlFixture control, long minTerm) throws Exception {
+	static ViewTarget target(ControlFixture control, String replica, long minTerm) throws Exception {
 		control.leader();
-		try (TestPeer peer = new TestPeer(control.peerAddress(REPLICA))) {
+		try (TestPeer peer = new TestPeer(control.peerAddress(replica))) {
 			peer.send(new LinkMessage.EntryHello("e", 0));
 			FleetView view = peer.await(LinkMessage.View.class).view();
 			while (view.term() < minTerm || view.targets().isEmpty()) {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TextDialect.java
@@ -119,13 +119,19 @@
 			case "read" -> new ControlRequest.ReadConfig();
 			case "out" -> new ControlRequest.SetDomainOut(words[1], true);
 			case "in" -> new ControlRequest.SetDomainOut(words[1], false);
-			case "heartbeat" -> new ControlRequest.Heartbeat(new TargetHeartbeat(new FleetTarget(words[1], 1, "s",
-					"127.0.0.1:" + ((words.length > 2) ? words[2] : "1"), "d", 1, FleetTarget.Stage.SERVING), 0,
-					System.nanoTime(), KeyReport.EMPTY));
+			case "heartbeat" -> heartbeat(words, 0);
+			case "cold-heartbeat" -> heartbeat(words, COLD_MILLIS);
 			default -> new ControlRequest.Unknown();
 		};
 	}
 
+	private static ControlRequest heartbeat(String[] words, long coldMillis) {
+		FleetTarget target = new FleetTarget(words[1], 1, "s", "127.0.0.1:" + ((words.length > 2) ? words[2] : "1"),
+				"d", 1, FleetTarget.Stage.SERVING);
+		return new ControlRequest.Heartbeat(
+				new TargetHeartbeat(target, coldMillis, System.nanoTime(), KeyReport.EMPTY));
+	}
+
 	@Override
 	public HttpResponse controlResponse(ControlRequest call, ControlAnswer answer, HttpRequest request) {
 		String document = new String(answer.document(), StandardCharsets.UTF_8);
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
@@ -192,6 +192,18 @@
 		assertThat(leftMillis("b")).isZero();
 	}
 
+	/**
+	 * Guards against a cold target that is flooded because this instance didn't get the
+	 * last view of the former leader, and knows that the target was warm.
+	 */
+	@Test
+	void shouldAssumeThatATargetIsColdOfWhichThatIsRecorded() throws Exception {
+		apply(viewOf(6, cold("a", 1, true, 3000, false), cold("b", 1, true, 0, false)));
+		apply(viewOf(7, recordedCold("a"), recordedCold("b")));
+		assertThat(leftMillis("a")).isEqualTo(3000);
+		assertThat(leftMillis("b")).isEqualTo(6000);
+	}
+
 	/**
 	 * Guards against a cold target that is flooded because a new leader receives a
 	 * heartbeat that was sent before those that the former one received.
@@ -263,6 +275,10 @@
 		return new FleetView(term, 1, 0, 7, 1, Optional.empty(), List.of(targets), List.of(), Map.of(), List.of());
 	}
 
+	private static ViewTarget recordedCold(String name) {
+		return new ViewTarget(name, "s", "127.0.0.1:1", "d", 3, true, 6000, 1, true, true);
+	}
+
 	private static ViewTarget cold(String name, long born, boolean usable, long leftMillis, boolean assumed) {
 		return new ViewTarget(name, "s", "127.0.0.1:1", "d", 3, usable, leftMillis, born, assumed);
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/link/LinkMessageTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/link/LinkMessageTests.java
@@ -126,7 +126,7 @@
 		RecordCodec<FleetCommand> codec = RecordCodec.of(FleetCommand.class);
 		for (FleetCommand command : List.of(new FleetCommand.ReplaceConfig(1, 2, new byte[] { 3 }),
 				new FleetCommand.SetDomainOut("d", true), new FleetCommand.RecordTarget(TARGET),
-				new FleetCommand.ForgetTarget(OWNER),
+				new FleetCommand.RecordTarget(TARGET.withWarmth(true, 4)), new FleetCommand.ForgetTarget(OWNER),
 				new FleetCommand.AssignKeys("s", List.of(), Optional.of(GrantMode.HEARTBEAT)),
 				new FleetCommand.AssignKeys("s", List.of(new FleetCommand.Move(new KeyRange(0, 9), OWNER))))) {
 			assertThat(codec.decode(codec.encode(command))).usingRecursiveComparison().isEqualTo(command);
@@ -155,4 +155,19 @@
 		assertThat(new FleetState(snapshots.decode(CBOR.writeValueAsBytes(snapshot))).mayHaveCalls("s")).isTrue();
 	}
 
+	/**
+	 * Guards against a replica that can't read a target which an earlier build recorded,
+	 * and against one that takes it for warm.
+	 */
+	@Test
+	void shouldDecodeATargetThatDoesntSayWhetherItIsWarm() throws Exception {
+		RecordCodec<FleetCommand> codec = RecordCodec.of(FleetCommand.class);
+		ObjectNode typed = (ObjectNode) CBOR
+			.readTree(codec.encode(new FleetCommand.RecordTarget(TARGET.withWarmth(true, 4))));
+		ObjectNode target = (ObjectNode) typed.elements().next().get("target");
+		assertThat(target.remove("warm")).isNotNull();
+		assertThat(target.remove("warmthSequence")).isNotNull();
+		assertThat(codec.decode(CBOR.writeValueAsBytes(typed))).isEqualTo(new FleetCommand.RecordTarget(TARGET));
+	}
+
 }
