Keep the pause of a target that starts again before the view says so

The target had started again under its name, told the pause 650 ms later, and eight requests followed 1.9 s after that, with 3.6 s of the pause left. Cause: the entry instance recorded the pause for the incarnation of its view. When the view named the new incarnation, it began with a target of which nothing was known. Change: the new incarnation takes over the pause. It doesn't take over that the former one leaves. EntryViewTests.shouldKeepThePauseButNotTheDepartureOfATargetThatStartsAgain failed before. A departure that the new incarnation states in that window is still lost (by reading; no run shows it).

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/TargetAvailability.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/TargetAvailability.java
@@ -46,6 +46,16 @@
 		}
 	}
 
+	/**
+	 * Takes over the pause that was recorded for the former incarnation of the target.
+	 * The present one may have stated it, since its responses arrive before anybody tells
+	 * that it has started. That the former one leaves says nothing about it.
+	 * @param former the availability of the former incarnation
+	 */
+	public void keepPauseOf(TargetAvailability former) {
+		this.pausedUntilNanos = former.pausedUntilNanos;
+	}
+
 	/**
 	 * Returns whether the target has stated that it leaves.
 	 * @return whether it leaves
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryViewTests.java
@@ -192,6 +192,21 @@
 		assertThat(leftMillis("b")).isZero();
 	}
 
+	/**
+	 * Guards against requests to a target that wants a pause, and said so before the view
+	 * said that it had started again; and against one that is avoided because its former
+	 * incarnation left.
+	 */
+	@Test
+	void shouldKeepThePauseButNotTheDepartureOfATargetThatStartsAgain() throws Exception {
+		apply(viewOf(6, cold("a", 1, true, 0, false)));
+		this.view.target("a").orElseThrow().availability().pauses(5000, 0);
+		this.view.target("a").orElseThrow().availability().leaves(0);
+		apply(viewOf(7, cold("a", 2, true, 0, false)));
+		assertThat(this.view.target("a").orElseThrow().availability().pauseLeftMillis(0)).isEqualTo(5000);
+		assertThat(this.view.target("a").orElseThrow().availability().leaving()).isFalse();
+	}
+
 	/**
 	 * Guards against a cold target that is flooded because this instance didn't get the
 	 * last view of the former leader, and knows that the target was warm.
