Let the last grants of a frozen leader arrive late in the random run

A frozen leader resets no connection, so its last grants may arrive later than leases allow for. The random run can let them, by a property.

--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallFleet.java
@@ -36,6 +36,9 @@
 
 	private static final int MAX_COMMIT_MILLIS = 500;
 
+	/** Time within which the last grants of leaders that are frozen arrive. */
+	private static final int FROZEN_MILLIS = Integer.getInteger("call-ownership.frozen-millis", 0);
+
 	final SimulatedTime time = new SimulatedTime();
 
 	// All incarnations, also those that have ended.
@@ -141,8 +144,15 @@
 	private void sendLast(OwnedRange range, long fence, boolean release) {
 		this.state.target(range.owner())
 			.map((target) -> new Call(target, range.keys(), fence, release, this.random.nextBoolean()))
-			.ifPresent((call) -> this.network.send(call, (outcome) -> {
-			}));
+			.ifPresent((call) -> {
+				if (FROZEN_MILLIS > 0 && !release) {
+					this.network.sendFrozen(call, FROZEN_MILLIS);
+				}
+				else {
+					this.network.send(call, (outcome) -> {
+					});
+				}
+			});
 	}
 
 	void advance(int millis) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallNetwork.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallNetwork.java
@@ -87,6 +87,20 @@
 		this.time.schedule(queued + transit, () -> arrive(call, reply, GRANT_TIMEOUT_MILLIS - 1 - transit));
 	}
 
+	// Sends a call of a process that is frozen afterwards and resets no connection. It may
+	// arrive later, at the process to which the connection leads.
+	void sendFrozen(Call call, int maxMillis) {
+		CallTarget target = this.byAddress.get(call.to.address());
+		this.time.schedule(1 + this.random.nextInt(maxMillis), () -> {
+			boolean arrives = target != null && target.alive && target.name.equals(call.to.name())
+					&& target.reachable(call.relayed);
+			if (arrives) {
+				receive(call, target, new Reply((outcome) -> {
+				}));
+			}
+		});
+	}
+
 	// A call that is repeated reaches the same process, since it is sent only over a
 	// connection to it.
 	private void arrive(Call call, Reply reply, int leftMillis) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallOwnershipTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallOwnershipTests.java
@@ -20,7 +20,9 @@
  * {@code -Dcall-ownership.seeds=5000 -Dcall-ownership.first=0}. With
  * {@code -Dcall-ownership.by-fences-alone=true}, a grant that is carried out after its
  * time has ended counts too, although it gives no keys: such a run fails, since an owner
- * that can't be reached or has started again is shown no higher fence.
+ * that can't be reached or has started again is shown no higher fence. With
+ * {@code -Dcall-ownership.frozen-millis=3000}, the last grants of leaders arrive within
+ * that time, as those of a frozen process may that doesn't reset its connections.
  */
 class CallOwnershipTests {
 
