Test that a new lease remembers until when a grant may arrive

A range that is merged, divided or gets a new fence while a grant is on its way keeps the time until which that grant may arrive, also after a later grant has returned. That was known by reading only. Removing the line in mergedWithNewFence, that in part, or the reset to the former time in grantArrived fails the new test.

--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallNetwork.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallNetwork.java
@@ -87,7 +87,8 @@
 		this.time.schedule(queued + transit, () -> arrive(call, reply, GRANT_TIMEOUT_MILLIS - 1 - transit));
 	}
 
-	// Sends a call of a process that is frozen afterwards and resets no connection. It may
+	// Sends a call of a process that is frozen afterwards and resets no connection. It
+	// may
 	// arrive later, at the process to which the connection leads.
 	void sendFrozen(Call call, int maxMillis) {
 		CallTarget target = this.byAddress.get(call.to.address());
--- a/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
@@ -243,6 +243,31 @@
 		assertThat(this.table.grantDue(lease, later + LeaseTiming.DEFAULT.retryNanos())).isTrue();
 	}
 
+	/**
+	 * Guards against a grant that a restarted owner receives after it has released its
+	 * keys: the grant was on its way when the range was merged, divided or got a new
+	 * fence, and a later one has returned since.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "new fence", "merged", "part" })
+	void shouldRememberUntilWhenAGrantInFlightMayArrive(String form) {
+		KeyRange tail = new KeyRange(100, KeyRange.KEYS - 1);
+		if (form.equals("merged")) {
+			this.keys.assign(new OwnedRange(tail, OWNER, 2));
+		}
+		newLease();
+		this.table.of("s").forEach((lease) -> this.table.grantSent(lease, START));
+		this.keys.assign(new OwnedRange(form.equals("part") ? tail : KeyRange.ALL, OWNER, 3));
+		this.table.applyAssignment("s", this.keys, START + 100 * MS);
+		this.table.of("s").forEach((next) -> {
+			this.table.grantSent(next, START + 200 * MS);
+			this.table.grantReturned(next, GrantOutcome.CONFIRMED, START + 300 * MS);
+			long latestArrival = START + LeaseTiming.MAX_ARRIVAL_NANOS;
+			assertThat(next.grantMayArrive(latestArrival)).isTrue();
+			assertThat(next.grantMayArrive(latestArrival + 1)).isFalse();
+		});
+	}
+
 	@Test
 	void shouldNotRenewARangeThatIsBeingReleased() {
 		RangeLease lease = confirmedLease();
