Test that a lease has one call at a time and that releases are repeated

Removed one at a time, four guards of CallDelivery were missed by all core tests: the two checks that no other call is in flight, and the repetition of a release without a response, also at a disputed address. The random run now fails at a second call for a lease, and a drain whose first release is lost must end within a second. All four are caught since.

--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallFleet.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.redwingramp.core.fleet.CallNetwork.Call;
@@ -26,7 +28,8 @@
  * Runs a succession of {@link FleetController}s against {@link CallTarget}s over a
  * {@link CallNetwork}. A new leader knows what is committed, but not the outcomes of its
  * predecessor's calls, of which those in flight still arrive. An {@link OwnershipCheck}
- * ends the run at the first breach. A seed fixes the run. Not thread safe.
+ * ends the run at the first breach, and so does a second call for a lease while another
+ * is in flight. A seed fixes the run. Not thread safe.
  */
 final class CallFleet implements FleetOutput {
 
@@ -56,6 +59,8 @@
 
 	private final Deque<FleetCommand> proposed = new ArrayDeque<>();
 
+	private final Set<RangeLease> inFlight = new HashSet<>();
+
 	private Optional<FleetController> controller = Optional.empty();
 
 	private GrantMode mode = GrantMode.CALL;
@@ -255,19 +260,33 @@
 	@Override
 	public void grant(RangeLease lease, FleetTarget target, Optional<String> via) {
 		Optional<FleetController> sender = this.controller;
+		callBegins(lease);
 		this.network.send(new Call(target, lease.range().keys(), lease.range().fence(), false, via.isPresent()),
-				(outcome) -> this.controller.filter((leader) -> leader == sender.get())
-					.ifPresent((leader) -> leader.grantReturned(lease, outcome, this.time.now())));
+				(outcome) -> {
+					this.inFlight.remove(lease);
+					this.controller.filter((leader) -> leader == sender.get())
+						.ifPresent((leader) -> leader.grantReturned(lease, outcome, this.time.now()));
+				});
 	}
 
 	@Override
 	public void release(RangeLease lease, FleetTarget target, Optional<String> via) {
 		Optional<FleetController> sender = this.controller;
+		callBegins(lease);
 		this.network.send(new Call(target, lease.range().keys(), lease.releaseFence(), true, via.isPresent()),
-				(outcome) -> this.controller.filter((leader) -> leader == sender.get())
-					.ifPresent((leader) -> leader.releaseReturned(lease, outcome,
-							Optional.of("token").filter((token) -> outcome == GrantOutcome.CONFIRMED),
-							this.time.now())));
+				(outcome) -> {
+					this.inFlight.remove(lease);
+					this.controller.filter((leader) -> leader == sender.get())
+						.ifPresent((leader) -> leader.releaseReturned(lease, outcome,
+								Optional.of("token").filter((token) -> outcome == GrantOutcome.CONFIRMED),
+								this.time.now()));
+				});
+	}
+
+	private void callBegins(RangeLease lease) {
+		if (!this.inFlight.add(lease)) {
+			throw new AssertionError("a second call for " + lease.range() + " while another is in flight");
+		}
 	}
 
 	@Override
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
@@ -491,6 +491,27 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against a drain that waits until a lease ends, because a release whose
+	 * response was lost isn't repeated, to an owner that can be reached or to whoever
+	 * answers at its disputed address.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void shouldRepeatAReleaseWhoseResponseWasLost(boolean disputed) {
+		awaitInitialAssignment();
+		this.fleet.loseNextReleaseReply.add("t-1");
+		drain("t-1");
+		advanceUntilDecision("release");
+		if (disputed) {
+			this.fleet.silent.add("t-1");
+			this.fleet.join("t-9", 9, "10.0.0.1:80");
+		}
+		this.fleet.advance(1000);
+		assertThat(this.fleet.owners()).doesNotContain("t-1");
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
 	/**
 	 * Guards against two owners of a key: a part of a range gets a new fence after a
 	 * command that merged the range with its neighbour, and its owner, which can't be
