--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallNetwork.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/CallNetwork.java
@@ -89,7 +89,7 @@
 
 	// Sends a call of a process that is frozen afterwards and resets no connection. It
 	// may
-	// arrive later, at the process to which the connection leads.
+	// arrive later, but only at the process to which the connection leads.
 	void sendFrozen(Call call, int maxMillis) {
 		CallTarget target = this.byAddress.get(call.to.address());
 		this.time.schedule(1 + this.random.nextInt(maxMillis), () -> {
