Move the health of targets out of the fleet controller

FleetController had about 990 lines that decide on many things at once. What it knows of the cold periods of targets moves to TargetHealths: the health of each target, assumptions after a change of the leader, first and later heartbeats, and returns of failure domains. FleetObservations reads it instead of the controller's map. No decision, log line or order changes.

All tests of redwingramp-core pass.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -86,7 +86,7 @@
 
 	private final LeaseTable leases;
 
-	private final Map<String, TargetHealth> healthByTarget = new HashMap<>();
+	private final TargetHealths healths;
 
 	private final Map<String, KeyLoad> loadByService = new HashMap<>();
 
@@ -116,10 +116,6 @@
 
 	private Set<String> domains = Set.of();
 
-	private Map<String, Long> coldMillisByService = Map.of();
-
-	private final Map<String, DomainReturn> returnByDomain = new HashMap<>();
-
 	private long lastBalanceNanos;
 
 	private long lastTargetChangeNanos;
@@ -139,13 +135,11 @@
 		this.guard = new GuardedWork(output);
 		this.targets = new TargetRegister(state);
 		this.leases = new LeaseTable(timing);
-		this.observations = new FleetObservations(this.healthByTarget, output, this::viewChanged);
+		this.healths = new TargetHealths(state, output, this::viewChanged, now);
+		this.observations = new FleetObservations(this.healths, output, this::viewChanged);
 		this.grantModes = new GrantModes(state, this.leases, output);
 		this.callDelivery = new CallDelivery(this, state, this.leases, output);
 		this.heartbeatDelivery = new HeartbeatDelivery(this, this.leases, output, timing);
-		state.targets().forEach((target) -> this.healthByTarget.put(target.name(), TargetHealth.adopted(target, now)));
-		output.decision("cold-assumed", "targets", state.targets().size(), "recorded-warm",
-				state.targets().stream().filter(FleetTarget::warm).count());
 		state.keyedServices().forEach((service) -> {
 			this.leases.adopt(service, state.keys(service), state.mayHaveCalls(service), now);
 			this.leases.quarantine(service, state.keys(service).gaps(), now);
@@ -161,17 +155,7 @@
 		this.grantModes.configure(configured.stream()
 			.filter(ServiceSpec::sharded)
 			.collect(Collectors.toUnmodifiableMap(ServiceSpec::name, ServiceSpec::grantMode)));
-		this.coldMillisByService = configured.stream()
-			.collect(Collectors.toUnmodifiableMap(ServiceSpec::name, ServiceSpec::coldMillis));
-		this.state.targets()
-			.forEach((target) -> Optional.ofNullable(this.healthByTarget.get(target.name()))
-				.ifPresent((health) -> assumeColdPeriod(health, target)));
-	}
-
-	// A leader that receives no heartbeat of a target doesn't know when it became cold.
-	private TargetHealth assumeColdPeriod(TargetHealth health, FleetTarget target) {
-		health.assumeColdPeriod(this.coldMillisByService.getOrDefault(target.service(), 0L) * NANOS_PER_MILLI);
-		return health;
+		this.healths.configure(configured);
 	}
 
 	/**
@@ -225,12 +209,7 @@
 		}
 		if (!current) {
 			this.observations.targetJoined(target.name(), now);
-			TargetHealth health = joined(target, now);
-			health.recordFirstHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now);
-			this.healthByTarget.put(target.name(), health);
-			logColdPeriod(target, health, "joined", now);
-			// Entry instances may know the former incarnation as a warm target.
-			this.viewChanges++;
+			TargetHealth health = this.healths.recordFirstHeartbeat(heartbeat, now);
 			return this.targets.record(target.withWarmth(health.reliablyWarm(now), heartbeat.sequence()));
 		}
 		FleetTarget recorded = known.get().atLeast(target.stage());
@@ -315,10 +294,8 @@
 	}
 
 	private void responsesReported(String entry, TargetUse usage, long now) {
-		TargetHealth health = this.healthByTarget.get(usage.target());
-		if (health != null) {
-			health.recordResponses(entry, usage.expectedMillis(), usage.elapsedMillis(), now);
-		}
+		this.healths.find(usage.target())
+			.ifPresent((health) -> health.recordResponses(entry, usage.expectedMillis(), usage.elapsedMillis(), now));
 		this.state.target(usage.target())
 			.ifPresent((target) -> this.observations.responsesReported(target.service(), usage));
 	}
@@ -375,17 +352,13 @@
 		commandRejected(command);
 		this.grantModes.applied(command);
 		if (command instanceof RecordTarget record) {
-			TargetHealth health = this.healthByTarget.get(record.target().name());
 			quarantineUnknownOwners(record.target(), now);
-			if (health == null || health.born() != record.target().born()) {
-				this.healthByTarget.put(record.target().name(),
-						assumeColdPeriod(joined(record.target(), now), record.target()));
-			}
+			this.healths.recorded(record.target(), now);
 			this.lastTargetChangeNanos = now;
 			this.viewChanges++;
 		}
 		else if (command instanceof ForgetTarget forget && this.state.target(forget.owner().target()).isEmpty()) {
-			this.healthByTarget.remove(forget.owner().target());
+			this.healths.forget(forget.owner().target());
 			this.viewChanges++;
 		}
 		else if (command instanceof FleetCommand.SetDomainOut) {
@@ -450,15 +423,7 @@
 	 * @param now the monotonic time in nanoseconds
 	 */
 	public void domainReturned(String domain, long coldMillis, long returnedNanos, long now) {
-		this.returnByDomain.put(domain, new DomainReturn(coldMillis * NANOS_PER_MILLI, returnedNanos));
-		this.state.targets()
-			.stream()
-			.filter((target) -> target.domain().equals(domain) && this.healthByTarget.containsKey(target.name()))
-			.forEach((target) -> this.healthByTarget.get(target.name())
-				.domainReturned(coldMillis * NANOS_PER_MILLI, returnedNanos));
-		this.output.decision("domain-cold", "domain", domain, "cold-millis", coldMillis, "returned-millis",
-				(now - returnedNanos) / NANOS_PER_MILLI);
-		this.viewChanges++;
+		this.healths.domainReturned(domain, coldMillis, returnedNanos, now);
 	}
 
 	/**
@@ -643,28 +608,15 @@
 
 	// Returns false for a heartbeat that isn't newer than all received before.
 	private boolean recordHeartbeat(TargetHeartbeat heartbeat, FleetTarget known, long now) {
-		TargetHealth health = health(known, now);
-		boolean wasCold = health.cold(now);
-		boolean wasAssumed = health.coldAssumed();
-		if (!health.recordHeartbeat(heartbeat.sequence(), heartbeat.coldLeftMillis() * NANOS_PER_MILLI, now)) {
+		if (!this.healths.recordHeartbeat(heartbeat, known, now)) {
 			return false;
 		}
-		boolean endMoved = health.coldEndMoved(now);
-		if (endMoved || wasCold != health.cold(now) || wasAssumed) {
-			this.viewChanges++;
-			logColdPeriod(known, health, "heartbeat", now);
-		}
 		if (grantedByHeartbeat(known.service()) && this.heartbeatDelivery.reported(known, heartbeat.keys())) {
 			assignUnownedRanges(known.service(), now);
 		}
 		return true;
 	}
 
-	private void logColdPeriod(FleetTarget target, TargetHealth health, String cause, long now) {
-		this.output.decision("cold-period", "target", target.name(), "born", target.born(), "cause", cause, "cold-left",
-				health.coldLeftMillis(now), "may-precede-return", health.mayPrecedeReturn(now));
-	}
-
 	boolean addressTaken(FleetTarget target) {
 		return this.targets.addressTaken(target);
 	}
@@ -737,26 +689,15 @@
 	}
 
 	Optional<TargetHealth> health(Owner owner, long now) {
-		return this.state.target(owner).map((target) -> health(target, now));
+		return this.healths.of(owner, now);
 	}
 
 	void viewChanged() {
 		this.viewChanges++;
 	}
 
-	// A target has no health yet if following the command that recorded it failed.
 	TargetHealth health(FleetTarget target, long now) {
-		return this.healthByTarget.computeIfAbsent(target.name(),
-				(name) -> assumeColdPeriod(joined(target, now), target));
-	}
-
-	// The first heartbeat of a target may have been sent before its domain returned, too.
-	private TargetHealth joined(FleetTarget target, long now) {
-		TargetHealth health = TargetHealth.joined(target.born(), now);
-		Optional.ofNullable(this.returnByDomain.get(target.domain()))
-			.filter((last) -> now - last.returnedNanos() < last.coldNanos())
-			.ifPresent((last) -> health.domainReturned(last.coldNanos(), last.returnedNanos()));
-		return health;
+		return this.healths.of(target, now);
 	}
 
 	void proposeHigherFence(RangeLease lease) {
@@ -807,8 +748,8 @@
 		this.planner.assign(sortedByFirstKey(unassigned), bins, loadOf(service, now))
 			.forEach((assignment) -> moves.add(new Move(assignment.keys(), assignment.owner())));
 		moves.forEach((move) -> this.output.decision("assign", "service", service, "keys", format(move.keys()),
-				"target", move.owner().target(), "slowness", this.healthByTarget.get(move.owner().target()).slowness(),
-				"cold-assumed", this.healthByTarget.get(move.owner().target()).coldAssumed()));
+				"target", move.owner().target(), "slowness", health(move.owner(), now).orElseThrow().slowness(),
+				"cold-assumed", health(move.owner(), now).orElseThrow().coldAssumed()));
 		proposeIfNotPending(new AssignKeys(service, moves));
 	}
 
@@ -975,13 +916,4 @@
 		return keys.first() + "-" + keys.last();
 	}
 
-	/**
-	 * The last return of a failure domain to service.
-	 *
-	 * @param coldNanos the time for which its targets count as cold, in nanoseconds
-	 * @param returnedNanos when it returned, as monotonic time in nanoseconds
-	 */
-	private record DomainReturn(long coldNanos, long returnedNanos) {
-	}
-
 }
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetObservations.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetObservations.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalDouble;
 
 import org.redwingramp.core.dispatch.RateReservations;
@@ -35,15 +34,15 @@
 
 	private final Map<String, Double> meanMillisByService = new HashMap<>();
 
-	private final Map<String, TargetHealth> healthByTarget;
+	private final TargetHealths healths;
 
 	private final FleetOutput output;
 
 	private final Runnable changed;
 
 	// Runs the action whenever the published observations have changed.
-	FleetObservations(Map<String, TargetHealth> healthByTarget, FleetOutput output, Runnable changed) {
-		this.healthByTarget = healthByTarget;
+	FleetObservations(TargetHealths healths, FleetOutput output, Runnable changed) {
+		this.healths = healths;
 		this.output = output;
 		this.changed = changed;
 	}
@@ -55,7 +54,7 @@
 	void received(Observation observation, long now) {
 		Observed observed = Observed.of(observation, now);
 		boolean current = switch (observed.kind()) {
-			case TARGET_LIMIT -> Optional.ofNullable(this.healthByTarget.get(observed.subject()))
+			case TARGET_LIMIT -> this.healths.find(observed.subject())
 				.filter((health) -> !health.joinedAfter(observed.observedNanos()))
 				.isPresent();
 			case CRASHED -> true;
@@ -85,7 +84,7 @@
 	// Returns how many requests of average length a target of average speed would have to
 	// run at once for the same throughput.
 	double capacity(FleetTarget target, long now) {
-		double bySpeed = target.slots() / this.healthByTarget.get(target.name()).slowness();
+		double bySpeed = target.slots() / this.healths.of(target, now).slowness();
 		OptionalDouble limit = limit(target.name(), now);
 		Double meanMillis = this.meanMillisByService.get(target.service());
 		return (limit.isEmpty() || meanMillis == null) ? bySpeed
