Move the assignment of keys out of the fleet controller

What FleetController decides about the owners of keys moves to KeyAssigner: the assignment of ranges that nobody holds, the balancing and merging of ranges, planned receivers, and the load by key. The controller keeps the proposed commands, through which the new class proposes its own, and has about 700 lines instead of 920. No decision, log line or order changes.

All tests of redwingramp-core pass.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -24,57 +24,30 @@
 import org.redwingramp.core.observation.Observation;
 import org.redwingramp.core.observation.ObservationTable.Observed;
 import org.redwingramp.core.ownership.GrantOutcome;
-import org.redwingramp.core.ownership.KeyLoad;
-import org.redwingramp.core.ownership.KeyPlanner;
-import org.redwingramp.core.ownership.KeyPlanner.Bin;
-import org.redwingramp.core.ownership.KeyPlanner.RangeMove;
 import org.redwingramp.core.ownership.KeyRange;
 import org.redwingramp.core.ownership.LeaseRenewal;
 import org.redwingramp.core.ownership.LeaseSummary;
 import org.redwingramp.core.ownership.LeaseTable;
 import org.redwingramp.core.ownership.LeaseTiming;
-import org.redwingramp.core.ownership.OwnedRange;
 import org.redwingramp.core.ownership.Owner;
 import org.redwingramp.core.ownership.RangeLease;
-import org.redwingramp.core.ownership.RangeLease.Phase;
 import org.redwingramp.core.traffic.ServiceSpec;
 
 /**
- * Manages targets and key ownership on the control leader. It tracks the health of
- * targets, grants key ranges to them and renews the leases, moves ranges away from
- * targets that drain, are overloaded or are lost, and produces the targets and owners of
- * the view that entry instances route by. Invariants: a range is assigned to a new owner
- * only once no former owner can still hold it; an assignment is committed before its
- * grant is sent. Reads no clock and performs no I/O: callers pass the time, and a
- * {@link FleetOutput} executes the decisions. Not thread safe.
+ * Manages targets and key ownership on the control leader. It grants key ranges to
+ * targets and renews the leases, forgets targets that are lost, and produces the targets
+ * and owners of the view that entry instances route by. {@link TargetHealths} tracks the
+ * health of targets, and {@link KeyAssigner} moves ranges away from those that drain, are
+ * overloaded or are lost. Invariants: a range is assigned to a new owner only once no
+ * former owner can still hold it; an assignment is committed before its grant is sent.
+ * Reads no clock and performs no I/O: callers pass the time, and a {@link FleetOutput}
+ * executes the decisions. Not thread safe.
  */
 public final class FleetController {
 
 	/** Interval between two rounds of load balancing. */
 	private static final long BALANCE_INTERVAL_NANOS = 400_000_000L;
 
-	/**
-	 * Limits the number of ranges that are being moved: load balancing starts no moves
-	 * while this many leases or more aren't serving.
-	 */
-	private static final int MAX_UNSERVED_LEASES = 12;
-
-	/**
-	 * The first keys of a service are assigned once no target has joined or changed for
-	 * this long. Otherwise the first targets to join would receive all keys. Longer than
-	 * a heartbeat interval.
-	 */
-	private static final long INITIAL_ASSIGNMENT_DELAY_NANOS = 2_000_000_000L;
-
-	/**
-	 * Minimum interval between two moves of a range. Requests for the range wait during a
-	 * move, and the effect of the previous move must become visible in the load first.
-	 */
-	private static final long MIN_MOVE_INTERVAL_NANOS = 1_500_000_000L;
-
-	/** Maximum number of groups of adjacent ranges that one command merges. */
-	private static final int MAX_MERGES_PER_COMMAND = 16;
-
 	/** Maximum number of entry instances whose reports are logged as implausible. */
 	private static final int MAX_LOGGED_ENTRIES = 1000;
 
@@ -88,10 +61,6 @@
 
 	private final TargetHealths healths;
 
-	private final Map<String, KeyLoad> loadByService = new HashMap<>();
-
-	private final Map<RangeLease, Owner> plannedReceivers = new HashMap<>();
-
 	private final Set<FleetCommand> pendingCommands = new HashSet<>();
 
 	private final Map<String, FleetCommand> pendingAssignments = new HashMap<>();
@@ -100,8 +69,6 @@
 
 	private final GuardedWork guard;
 
-	private final KeyPlanner planner = new KeyPlanner();
-
 	private final GrantModes grantModes;
 
 	private final CallDelivery callDelivery;
@@ -110,6 +77,8 @@
 
 	private final FleetObservations observations;
 
+	private final KeyAssigner assigner;
+
 	private final Set<String> implausibleEntries = new HashSet<>();
 
 	private Set<String> services = Set.of();
@@ -118,8 +87,6 @@
 
 	private long lastBalanceNanos;
 
-	private long lastTargetChangeNanos;
-
 	private long viewChanges;
 
 	/**
@@ -137,6 +104,7 @@
 		this.leases = new LeaseTable(timing);
 		this.healths = new TargetHealths(state, output, this::viewChanged, now);
 		this.observations = new FleetObservations(this.healths, output, this::viewChanged);
+		this.assigner = new KeyAssigner(this, state, this.leases, this.healths, this.observations, output);
 		this.grantModes = new GrantModes(state, this.leases, output);
 		this.callDelivery = new CallDelivery(this, state, this.leases, output);
 		this.heartbeatDelivery = new HeartbeatDelivery(this, this.leases, output, timing);
@@ -285,7 +253,7 @@
 			.stream()
 			.filter((usage) -> usage.plausible() && this.grantModes.services().contains(usage.service()))
 			.forEach((usage) -> processElement(usage::service,
-					() -> loadOf(usage.service(), now).add(usage.key(), usage.millis())));
+					() -> this.assigner.keyUsed(usage.service(), usage.key(), usage.millis(), now)));
 		logImplausible(entry, report);
 	}
 
@@ -354,7 +322,7 @@
 		if (command instanceof RecordTarget record) {
 			quarantineUnknownOwners(record.target(), now);
 			this.healths.recorded(record.target(), now);
-			this.lastTargetChangeNanos = now;
+			this.assigner.targetRecorded(now);
 			this.viewChanges++;
 		}
 		else if (command instanceof ForgetTarget forget && this.state.target(forget.owner().target()).isEmpty()) {
@@ -366,26 +334,10 @@
 		}
 		this.state.keyedServices()
 			.forEach((service) -> this.leases.applyAssignment(service, this.state.keys(service), now));
-		followPlannedMoves();
+		this.assigner.followPlannedMoves();
 		this.viewChanges++;
 	}
 
-	// A planned move survives a new fence of the range, which its release may need.
-	private void followPlannedMoves() {
-		Map<RangeLease, Owner> current = new HashMap<>();
-		this.plannedReceivers.forEach((lease, receiver) -> {
-			if (this.leases.current(lease)) {
-				current.put(lease, receiver);
-				return;
-			}
-			this.leases.find(lease.service(), lease.range().keys())
-				.filter((next) -> next.releaseRequested() && next.range().owner().equals(lease.range().owner()))
-				.ifPresent((next) -> current.put(next, receiver));
-		});
-		this.plannedReceivers.clear();
-		this.plannedReceivers.putAll(current);
-	}
-
 	// The owner of a range may be unknown by now because it started again, or because it
 	// left and was forgotten when many others left. Neither proves that the keys are
 	// free.
@@ -505,15 +457,15 @@
 			.forEach((lease) -> this.guard.run("maintain lease",
 					() -> lease.service() + ' ' + format(lease.range().keys()), () -> maintainLease(lease, now)));
 		this.grantModes.services()
-			.forEach(
-					(service) -> this.guard.run("assign keys", () -> service, () -> assignUnownedRanges(service, now)));
+			.forEach((service) -> this.guard.run("assign keys", () -> service,
+					() -> this.assigner.assignUnownedRanges(service, now)));
 		if (now - this.lastBalanceNanos >= BALANCE_INTERVAL_NANOS) {
 			this.lastBalanceNanos = now;
-			this.loadByService.values().forEach((load) -> load.decay(now));
+			this.assigner.decayLoads(now);
 			this.observations.expire(now);
 			this.grantModes.services().forEach((service) -> this.guard.run("balance keys", () -> service, () -> {
-				balance(service, now);
-				mergeAdjacentRanges(service, now);
+				this.assigner.balance(service, now);
+				this.assigner.mergeAdjacentRanges(service, now);
 			}));
 		}
 	}
@@ -612,7 +564,7 @@
 			return false;
 		}
 		if (grantedByHeartbeat(known.service()) && this.heartbeatDelivery.reported(known, heartbeat.keys())) {
-			assignUnownedRanges(known.service(), now);
+			this.assigner.assignUnownedRanges(known.service(), now);
 		}
 		return true;
 	}
@@ -656,7 +608,7 @@
 			.ifPresent((target) -> delivery(lease.service()).maintain(lease, target, now));
 	}
 
-	private GrantDelivery delivery(String service) {
+	GrantDelivery delivery(String service) {
 		return grantedByHeartbeat(service) ? this.heartbeatDelivery : this.callDelivery;
 	}
 
@@ -678,14 +630,11 @@
 	}
 
 	Stream<RangeLease> leasesPlannedFor(Owner receiver) {
-		return this.plannedReceivers.entrySet()
-			.stream()
-			.filter((entry) -> entry.getValue().equals(receiver))
-			.map(Map.Entry::getKey);
+		return this.assigner.leasesPlannedFor(receiver);
 	}
 
 	Optional<Owner> plannedReceiver(RangeLease lease) {
-		return Optional.ofNullable(this.plannedReceivers.get(lease));
+		return this.assigner.plannedReceiver(lease);
 	}
 
 	Optional<TargetHealth> health(Owner owner, long now) {
@@ -710,200 +659,34 @@
 		}
 	}
 
-	private void assignUnownedRanges(String service, long now) {
-		List<RangeLease> free = this.leases.of(service)
-			.stream()
-			.filter((lease) -> this.leases.assignable(lease, now) && !willBeRenewed(lease, now))
-			.toList();
-		List<KeyRange> gaps = this.state.keys(service)
-			.gaps()
-			.stream()
-			.filter((gap) -> this.leases.assignable(service, gap, now))
-			.toList();
-		if ((free.isEmpty() && gaps.isEmpty()) || this.pendingAssignments.containsKey(service)) {
-			return;
-		}
-		List<Bin> bins = bins(service, now, free);
-		boolean awaitingTargets = this.state.keys(service).ranges().isEmpty()
-				&& now - this.lastTargetChangeNanos < INITIAL_ASSIGNMENT_DELAY_NANOS;
-		if (bins.isEmpty() || awaitingTargets) {
-			return;
-		}
-		Set<Owner> receiving = bins.stream().map(Bin::owner).collect(Collectors.toSet());
-		List<Move> moves = new ArrayList<>();
-		List<KeyRange> unassigned = new ArrayList<>(gaps);
-		free.forEach((lease) -> {
-			this.output.decision("free", "service", service, "keys", format(lease.range().keys()), "target",
-					lease.range().owner().target(), "fence", lease.range().fence(), "phase", lease.phase(),
-					"last-grant", lastOutcome(lease), "unanswered-for", unansweredMillis(lease, now), "lease-left",
-					leftMillis(lease, now));
-			Owner receiver = this.plannedReceivers.get(lease);
-			if (receiver != null && receiving.contains(receiver)) {
-				moves.add(new Move(lease.range().keys(), receiver));
-			}
-			else {
-				unassigned.add(lease.range().keys());
-			}
-		});
-		this.planner.assign(sortedByFirstKey(unassigned), bins, loadOf(service, now))
-			.forEach((assignment) -> moves.add(new Move(assignment.keys(), assignment.owner())));
-		moves.forEach((move) -> this.output.decision("assign", "service", service, "keys", format(move.keys()),
-				"target", move.owner().target(), "slowness", health(move.owner(), now).orElseThrow().slowness(),
-				"cold-assumed", health(move.owner(), now).orElseThrow().coldAssumed()));
-		proposeIfNotPending(new AssignKeys(service, moves));
-	}
-
-	// Returns whether an unreleased lease is renewed although it may have expired,
-	// because its owner can be reached again.
-	private boolean willBeRenewed(RangeLease lease, long now) {
-		return lease.granted() && this.state.target(lease.range().owner())
-			.filter(this::mayKeepKeys)
-			.filter((target) -> delivery(lease.service()).reachable(health(target, now), now)
-					&& !health(target, now).lost(now))
-			.isPresent();
-	}
-
 	// Names the outcome that this leader knows of the last grant with the present fence.
-	private static String lastOutcome(RangeLease lease) {
+	static String lastOutcome(RangeLease lease) {
 		return lease.lastOutcome().map(GrantOutcome::name).orElse("none");
 	}
 
 	// Returns the age of the oldest grant that may be applied late, -1 if there is none.
-	private static long unansweredMillis(RangeLease lease, long now) {
+	static long unansweredMillis(RangeLease lease, long now) {
 		return lease.unansweredSinceNanos().map((since) -> (now - since) / NANOS_PER_MILLI).orElse(-1L);
 	}
 
-	private static long leftMillis(RangeLease lease, long now) {
+	static long leftMillis(RangeLease lease, long now) {
 		return (lease.endNanos() - now) / NANOS_PER_MILLI;
 	}
 
-	private static List<KeyRange> sortedByFirstKey(Collection<KeyRange> parts) {
-		return parts.stream().sorted((left, right) -> Integer.compare(left.first(), right.first())).toList();
-	}
-
-	private void balance(String service, long now) {
-		List<RangeLease> all = this.leases.of(service);
-		if (all.stream()
-			.filter((lease) -> !lease.serving() || lease.releaseRequested())
-			.count() >= MAX_UNSERVED_LEASES) {
-			return;
-		}
-		List<OwnedRange> movable = all.stream()
-			.filter((lease) -> lease.serving() && !lease.releaseRequested() && !lease.callInFlight()
-					&& ownerReachable(lease, now))
-			.filter((lease) -> now - lease.assignedNanos() >= MIN_MOVE_INTERVAL_NANOS)
-			.filter((lease) -> lease.phase() == Phase.HELD && !ownerChangePending(lease))
-			.map(RangeLease::range)
-			.toList();
-		List<Bin> bins = bins(service, now, List.of());
-		List<RangeMove> rangeMoves = new ArrayList<>(this.planner.balance(bins, movable, loadOf(service, now)));
-		Set<Owner> moving = rangeMoves.stream()
-			.flatMap((rangeMove) -> Stream.of(rangeMove.owner(), rangeMove.receiver()))
-			.collect(Collectors.toSet());
-		rangeMoves.addAll(this.planner.mergeAdjacent(bins, all.stream().map(RangeLease::range).toList(),
-				Set.copyOf(movable), moving, loadOf(service, now)));
-		rangeMoves.forEach((rangeMove) -> startMove(service, rangeMove, now));
-	}
-
-	// Merges adjacent ranges of one owner under a common fence, so that a single call
-	// renews them.
-	private void mergeAdjacentRanges(String service, long now) {
-		if (this.pendingAssignments.containsKey(service)) {
-			return;
-		}
-		List<Move> merged = this.leases
-			.mergeable(service,
-					(lease) -> lease.phase() == Phase.HELD && lease.serving() && !lease.releaseRequested()
-							&& ownerReachable(lease, now))
-			.stream()
-			.limit(MAX_MERGES_PER_COMMAND)
-			.map((range) -> new Move(range.keys(), range.owner()))
-			.toList();
-		if (!merged.isEmpty()) {
-			merged.forEach((move) -> this.output.decision("join", "service", service, "keys", format(move.keys()),
-					"target", move.owner().target()));
-			proposeIfNotPending(new AssignKeys(service, merged));
-		}
-	}
-
-	private boolean ownerReachable(RangeLease lease, long now) {
-		return this.state.target(lease.range().owner())
-			.filter((target) -> delivery(lease.service()).reachable(health(target, now), now))
-			.isPresent();
-	}
-
-	private void startMove(String service, RangeMove rangeMove, long now) {
-		Optional<RangeLease> lease = this.leases.find(service, rangeMove.keys())
-			.filter((candidate) -> candidate.range().owner().equals(rangeMove.owner()));
-		Optional<FleetTarget> owner = this.state.target(rangeMove.owner());
-		if (lease.isEmpty() || owner.isEmpty()) {
-			return;
-		}
-		RangeLease moved = this.leases.split(lease.get(), rangeMove.keys());
-		this.plannedReceivers.put(moved, rangeMove.receiver());
-		this.output.decision("move", "service", service, "keys", format(rangeMove.keys()), "target",
-				rangeMove.owner().target(), "receiver", rangeMove.receiver().target(), "slowness",
-				health(owner.get(), now).slowness());
-		delivery(service).release(moved, owner.get(), now);
-	}
-
-	private List<Bin> bins(String service, long now, List<RangeLease> without) {
-		KeyLoad load = loadOf(service, now);
-		Map<String, Long> latestStarts = this.state.targets()
-			.stream()
-			.collect(Collectors.toMap(FleetTarget::address, FleetTarget::born, Math::max));
-		return this.state.targets()
-			.stream()
-			.filter((target) -> target.service().equals(service) && target.born() == latestStarts.get(target.address()))
-			.flatMap((target) -> this.guard.call("weigh target", target::name, () -> bin(target, load, without, now))
-				.stream()
-				.flatMap(Optional::stream))
-			.toList();
-	}
-
-	private Optional<Bin> bin(FleetTarget target, KeyLoad load, List<RangeLease> without, long now) {
-		if (!mayReceiveKeys(target, now)) {
-			return Optional.empty();
-		}
-		return Optional.of(new Bin(target.owner(), this.observations.capacity(target, now),
-				rangesOf(target.service(), target.owner(), without), load));
-	}
-
-	// Returns the ranges of an owner. A range that is being moved counts towards its
-	// receiver.
-	private Stream<KeyRange> rangesOf(String service, Owner owner, List<RangeLease> without) {
-		return this.leases.of(service)
-			.stream()
-			.filter((lease) -> !without.contains(lease))
-			.filter((lease) -> this.plannedReceivers.getOrDefault(lease, lease.range().owner()).equals(owner))
-			.map((lease) -> lease.range().keys());
-	}
-
 	boolean mayKeepKeys(FleetTarget target) {
 		return target.stage() == Stage.SERVING && !this.state.domainsOut().contains(target.domain());
 	}
 
-	private boolean mayReceiveKeys(FleetTarget target, long now) {
-		TargetHealth health = health(target, now);
-		return mayKeepKeys(target) && (!health.cold(now) || wasWarm(target, health)) && !health.refusesKeys(now)
-				&& delivery(target.service()).reachable(health, now) && !health.lost(now);
-	}
-
-	// Returns whether a target that is only assumed to be cold was warm at an earlier
-	// leader, since it owns keys, which are assigned to warm targets only.
-	private boolean wasWarm(FleetTarget target, TargetHealth health) {
-		return health.coldAssumed() && !this.state.keys(target.service()).rangesOf(target.owner()).isEmpty();
-	}
-
 	private boolean usable(FleetTarget target) {
 		return target.stage().usable() && !this.state.domainsOut().contains(target.domain());
 	}
 
-	private KeyLoad loadOf(String service, long now) {
-		return this.loadByService.computeIfAbsent(service, (name) -> new KeyLoad(now));
+	// Returns whether an assignment of keys of a service was proposed and has no result.
+	boolean assignmentPending(String service) {
+		return this.pendingAssignments.containsKey(service);
 	}
 
-	private void proposeIfNotPending(FleetCommand command) {
+	void proposeIfNotPending(FleetCommand command) {
 		if (this.pendingCommands.add(command)) {
 			if (command instanceof AssignKeys assign) {
 				this.pendingAssignments.put(assign.service(), command);
