--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealths.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealths.java
@@ -33,9 +33,9 @@
 
 	private Map<String, Long> coldMillisByService = Map.of();
 
-	// Begins with the targets that earlier leaders recorded. Runs the action whenever
-	// what
-	// the view says of a target may have changed.
+	// Begins with the targets that earlier leaders recorded. The action is run whenever
+	// the
+	// view of a target may have changed.
 	TargetHealths(FleetState state, FleetOutput output, Runnable changed, long now) {
 		this.state = state;
 		this.output = output;
