Reserve the ports of test fixtures

The fixtures looked for a free port by binding port 0, released it and bound it later. Meanwhile the operating system gave it to another process, or the fixture of another test run took it: BindException in EntryFixture. Fixtures whose replicas share a port on several addresses can't bind port 0 and ask.

EntryFixture, ControlFixture, CrashingTarget, CrashDetectorTests, WireFixture, SingleDaemon and RedwingrampTests use it.

--- a/redwingramp-bench/src/test/java/org/redwingramp/bench/usecase/SingleDaemon.java
+++ b/redwingramp-bench/src/test/java/org/redwingramp/bench/usecase/SingleDaemon.java
@@ -1,8 +1,6 @@
 package org.redwingramp.bench.usecase;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -17,6 +15,7 @@
 import java.util.logging.Logger;
 
 import org.redwingramp.bench.standin.StandIn;
+import org.redwingramp.core.support.ReservedPorts;
 import org.redwingramp.daemon.EmbeddedDaemon;
 import org.redwingramp.records.Settings;
 import org.redwingramp.records.SettingsParseResult;
@@ -61,11 +60,13 @@
 
 	private final ScheduledExecutorService announcer = Executors.newSingleThreadScheduledExecutor();
 
-	private final int callerPort = freePort();
+	private final ReservedPorts ports = ReservedPorts.reserve();
 
-	private final int operatorPort = freePort();
+	private final int callerPort = this.ports.port(0);
 
-	private final int internalPort = freePort();
+	private final int operatorPort = this.ports.port(1);
+
+	private final int internalPort = this.ports.port(2);
 
 	private final EmbeddedDaemon daemon;
 
@@ -205,16 +206,11 @@
 		return result.settings().orElseThrow(() -> new AssertionError(result.findings()));
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-	}
-
 	@Override
 	public void close() throws Exception {
 		this.announcer.shutdownNow();
 		this.daemon.close();
+		this.ports.close();
 	}
 
 	/** A request that can be repeated safely. */
--- a/redwingramp-cli/src/test/java/org/redwingramp/cli/RedwingrampTests.java
+++ b/redwingramp-cli/src/test/java/org/redwingramp/cli/RedwingrampTests.java
@@ -3,8 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,6 +18,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.redwingramp.core.support.ReservedPorts;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -58,12 +58,15 @@
 
 	private FakeOperatorApi second;
 
+	private ReservedPorts unused;
+
 	private String file;
 
 	@BeforeEach
 	void start() throws Exception {
 		this.first = new FakeOperatorApi();
 		this.second = new FakeOperatorApi();
+		this.unused = ReservedPorts.reserve();
 		this.file = Files.writeString(this.directory.resolve("mixco.toml"), DOMAIN).toString();
 		this.environment.put("REDWINGRAMP_TOKEN", FakeOperatorApi.TOKEN);
 		this.environment.put("REDWINGRAMP_ENDPOINTS", this.first.endpoint() + ", " + this.second.endpoint());
@@ -73,6 +76,7 @@
 	void stop() throws Exception {
 		this.first.close();
 		this.second.close();
+		this.unused.close();
 	}
 
 	@Test
@@ -130,7 +134,7 @@
 	}
 
 	@Test
-	void shouldTryNextInstanceIfConnectionFails() throws IOException {
+	void shouldTryNextInstanceIfConnectionFails() {
 		this.second.reply(POST, 200, ACCEPTED);
 		assertThat(run("submit", this.file, "--endpoint", unusedEndpoint(), "--endpoint", this.second.endpoint()))
 			.isEqualTo(ExitCode.OK);
@@ -138,7 +142,7 @@
 	}
 
 	@Test
-	void shouldReportUnreachableIfNothingWasSent() throws IOException {
+	void shouldReportUnreachableIfNothingWasSent() {
 		assertThat(run("submit", this.file, "--endpoint", unusedEndpoint())).isEqualTo(ExitCode.UNREACHABLE);
 		assertThat(err()).contains("nothing was changed");
 	}
@@ -275,10 +279,8 @@
 		return this.err.toString(StandardCharsets.UTF_8);
 	}
 
-	private static String unusedEndpoint() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return "127.0.0.1:" + socket.getLocalPort();
-		}
+	private String unusedEndpoint() {
+		return "127.0.0.1:" + this.unused.port(0);
 	}
 
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/ControlFixture.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -22,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
+import org.redwingramp.core.support.ReservedPorts;
 import org.redwingramp.node.events.EventWriter;
 import org.redwingramp.node.loop.EventLoop;
 
@@ -48,9 +48,11 @@
 
 	private final int toleratedLosses;
 
-	private final int port;
+	private final ReservedPorts ports = ReservedPorts.reserve();
 
-	private final int peerPort;
+	private final int port = this.ports.port(0);
+
+	private final int peerPort = this.ports.port(1);
 
 	private final List<RunningReplica> running = new ArrayList<>();
 
@@ -64,8 +66,6 @@
 		this.toleratedLosses = toleratedLosses;
 		this.folder = folder;
 		this.seeds = List.of(seeds);
-		this.port = freePort();
-		this.peerPort = freePort();
 		for (String seed : seeds) {
 			start(seed, true);
 		}
@@ -200,6 +200,7 @@
 	@Override
 	public void close() throws Exception {
 		stopAll();
+		this.ports.close();
 	}
 
 	private static void run(EventLoop loop, ControlNode node, CompletableFuture<Void> ended) {
@@ -213,12 +214,6 @@
 		}
 	}
 
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
-	}
-
 	private record RunningReplica(String name, EventLoop loop, EventWriter events, CompletableFuture<Void> ended) {
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashDetectorTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashDetectorTests.java
@@ -1,6 +1,5 @@
 package org.redwingramp.node.entry;
 
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -16,6 +15,7 @@
 
 import org.redwingramp.core.dispatch.TargetTracker;
 import org.redwingramp.core.fleet.FleetView.ViewTarget;
+import org.redwingramp.core.support.ReservedPorts;
 import org.redwingramp.node.http.BodyMemoryLimit;
 import org.redwingramp.node.http.TargetConnections;
 import org.redwingramp.node.loop.LoopExtension;
@@ -44,8 +44,9 @@
 	 */
 	@Test
 	void shouldNotBlameARequestToTheNextIncarnationForTheCrashOfTheFormer() throws Exception {
-		try (ServerSocket running = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			EntryTarget former = target(1, closedPort());
+		try (ServerSocket running = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+				ReservedPorts unused = ReservedPorts.reserve()) {
+			EntryTarget former = target(1, unused.port(0));
 			EntryTarget present = target(2, running.getLocalPort());
 			this.loops.loop().post(() -> {
 				this.detector.connectionBroken(former, "deadly");
@@ -63,10 +64,4 @@
 				new TargetTracker(3, 100, System.nanoTime()), System.nanoTime());
 	}
 
-	private static int closedPort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return socket.getLocalPort();
-		}
-	}
-
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashingRequestTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashingRequestTests.java
@@ -31,7 +31,7 @@
 	}
 
 	@AfterEach
-	void stop() {
+	void stop() throws Exception {
 		this.entry.close();
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashingTarget.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/CrashingTarget.java
@@ -1,8 +1,6 @@
 package org.redwingramp.node.entry;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -12,6 +10,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import org.redwingramp.core.support.ReservedPorts;
+
 /**
  * A target that crashes when it begins to run a request with {@code deadly} in its path:
  * all its connections break and its port is closed until {@link #restart()}. It delays
@@ -23,20 +23,19 @@
 
 	final List<String> crashes = new CopyOnWriteArrayList<>();
 
-	private final int port;
+	private final ReservedPorts ports = ReservedPorts.reserve();
 
 	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
 	private volatile ServerSocket server;
 
 	CrashingTarget() throws IOException {
-		this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-		this.port = this.server.getLocalPort();
+		this.server = listen();
 		ScriptedTarget.start(this::accept);
 	}
 
 	String address() {
-		return "127.0.0.1:" + this.port;
+		return "127.0.0.1:" + this.ports.port(0);
 	}
 
 	boolean crashed() {
@@ -45,10 +44,7 @@
 
 	void restart() throws IOException {
 		if (crashed()) {
-			ServerSocket next = new ServerSocket();
-			next.setReuseAddress(true);
-			next.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), this.port));
-			this.server = next;
+			this.server = listen();
 			ScriptedTarget.start(this::accept);
 		}
 	}
@@ -56,6 +52,14 @@
 	@Override
 	public void close() throws IOException {
 		this.server.close();
+		this.ports.close();
+	}
+
+	private ServerSocket listen() throws IOException {
+		ServerSocket socket = new ServerSocket();
+		socket.setReuseAddress(true);
+		socket.bind(this.ports.address(0));
+		return socket;
 	}
 
 	private void accept() {
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -2,9 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -24,6 +21,7 @@
 import org.redwingramp.core.observation.Observation;
 import org.redwingramp.core.ownership.GrantOutcome;
 import org.redwingramp.core.ownership.Owner;
+import org.redwingramp.core.support.ReservedPorts;
 import org.redwingramp.node.api.GrantCall;
 import org.redwingramp.node.api.GrantReply;
 import org.redwingramp.node.events.EventWriter;
@@ -64,9 +62,11 @@
 	// What the entry instance reported to its leader.
 	final BlockingQueue<Observation> observations = new LinkedBlockingQueue<>();
 
-	private final int callerPort;
+	private final ReservedPorts ports = ReservedPorts.reserve();
 
-	final int readinessPort;
+	private final int callerPort = this.ports.port(0);
+
+	final int readinessPort = this.ports.port(1);
 
 	// Whether any entry instance follows the simulated leader, as it says.
 	volatile Optional<Boolean> followed = Optional.empty();
@@ -103,13 +103,10 @@
 	EntryFixture(long graceNanos) throws Exception {
 		this.loop = new EventLoop((failure) -> failure.printStackTrace());
 		this.events = new EventWriter(this.log, "test");
-		this.callerPort = freePort();
-		this.readinessPort = freePort();
-		int peerPort = freePort();
-		this.loop.listen(local(peerPort),
+		this.loop.listen(this.ports.address(2),
 				(tcp) -> Link.accepted(tcp, this::received, (link) -> this.entryLink.compareAndSet(link, null)));
-		EntrySettings settings = new EntrySettings("test", "d", local(this.callerPort), local(this.readinessPort),
-				peerPort, List.of("127.0.0.1"), 0.2, 50, graceNanos, DRAIN_NANOS);
+		EntrySettings settings = new EntrySettings("test", "d", this.ports.address(0), this.ports.address(1),
+				this.ports.port(2), List.of("127.0.0.1"), 0.2, 50, graceNanos, DRAIN_NANOS);
 		this.node = EntryNode.start(this.loop, settings, new TestDialect(), this.events);
 		LoopThread.start(this.loop);
 		while (this.entryLink.get() == null) {
@@ -252,9 +249,10 @@
 	}
 
 	@Override
-	public void close() {
+	public void close() throws IOException {
 		this.loop.stop();
 		this.events.close();
+		this.ports.close();
 	}
 
 	private void received(Link link, LinkMessage message) {
@@ -278,14 +276,4 @@
 		}
 	}
 
-	private static InetSocketAddress local(int port) {
-		return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-	}
-
-	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
-	}
-
 }
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryNodeTests.java
@@ -33,7 +33,7 @@
 	}
 
 	@AfterEach
-	void stop() {
+	void stop() throws Exception {
 		this.entry.close();
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/RepeatedRefusalTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/RepeatedRefusalTests.java
@@ -25,7 +25,7 @@
 	}
 
 	@AfterEach
-	void stop() {
+	void stop() throws Exception {
 		this.entry.close();
 	}
 
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/TargetRateLimitTests.java
@@ -54,7 +54,7 @@
 	}
 
 	@AfterEach
-	void stop() {
+	void stop() throws Exception {
 		this.callers.shutdownNow();
 		this.entry.close();
 	}
--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/UnusableViewTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/UnusableViewTests.java
@@ -44,7 +44,7 @@
 	}
 
 	@AfterEach
-	void stop() {
+	void stop() throws Exception {
 		this.entry.close();
 	}
 
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/PeerLinksTests.java
@@ -28,7 +28,7 @@
 	}
 
 	@AfterEach
-	void close() {
+	void close() throws Exception {
 		this.fixture.close();
 	}
 
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/WireFixture.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/WireFixture.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import org.redwingramp.core.support.ReservedPorts;
+
 /**
  * A peer server and links that connect to it over the loopback interface. Records events
  * and one-way messages. Thread safe.
@@ -33,6 +35,8 @@
 
 	final PeerLinks links;
 
+	private final ReservedPorts ports = ReservedPorts.reserve();
+
 	private PeerServer server;
 
 	/**
@@ -41,7 +45,8 @@
 	 * @throws IOException if the port can't be opened
 	 */
 	public WireFixture(ServerSettings settings) throws IOException {
-		this.server = PeerServer.open(loopback(0), self("gate", "c1"), this, settings, this.serverEvents::add);
+		this.server = PeerServer.open(this.ports.address(0), self("gate", "c1"), this, settings,
+				this.serverEvents::add);
 		this.links = PeerLinks.open(self("entry", "c1"), LinkSettings.DEFAULT, this.linkEvents::add);
 	}
 
@@ -81,9 +86,8 @@
 	}
 
 	void restart() throws IOException {
-		int port = this.server.address().getPort();
 		this.server.close();
-		this.server = PeerServer.open(loopback(port), self("gate", "c1"), this, SERVER, this.serverEvents::add);
+		this.server = PeerServer.open(this.ports.address(0), self("gate", "c1"), this, SERVER, this.serverEvents::add);
 	}
 
 	/**
@@ -144,9 +148,10 @@
 	}
 
 	@Override
-	public void close() {
+	public void close() throws IOException {
 		this.links.close();
 		this.server.close();
+		this.ports.close();
 	}
 
 }
