Hold unauthenticated connections open for the whole test

UntrustedConnectionTests.shouldServePeersWhileUnauthenticatedClientsHoldConnections failed on a busy machine: opening the peer's connection took longer than the 300 ms that both sides allow ("Can't reach ...: AsynchronousCloseException"). 300 ms isn't what the test checks, and it made the check weaker: the held connections timed out by themselves at about the time of the call. They now stay open for 30 s, so that the peer is served only if they are evicted, and the test asserts that none timed out. The event of the handshake timeout has a test of its own with the former 300 ms.

--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/WireFixture.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/WireFixture.java
@@ -29,6 +29,16 @@
 	/** The events reported by the server. */
 	public final List<WireEvent> serverEvents = new CopyOnWriteArrayList<>();
 
+	/**
+	 * As {@link #SERVER}, but with half a minute for the authentication of a connection.
+	 */
+	public static final ServerSettings LONG_HANDSHAKE = new ServerSettings(5 * 1024 * 1024, 64, 32, 30_000, 10_000,
+			10_000);
+
+	/** Link settings with several seconds to open a connection. */
+	public static final LinkSettings PATIENT = new LinkSettings(1 << 20, 256, 8, 64, 5000, 100, 250, 3000, 15_000, 20,
+			500);
+
 	final List<WireEvent> linkEvents = new CopyOnWriteArrayList<>();
 
 	final BlockingQueue<String> received = new LinkedBlockingQueue<>();
--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/internal/UntrustedConnectionTests.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/internal/UntrustedConnectionTests.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
+import org.redwingramp.wire.Answer;
 import org.redwingramp.wire.CallNotExecutedException;
 import org.redwingramp.wire.Kind;
 import org.redwingramp.wire.LinkSettings;
@@ -39,6 +40,8 @@
 
 class UntrustedConnectionTests {
 
+	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+
 	private static final byte[] NONCE = new byte[Session.NONCE_BYTES];
 
 	private final List<AutoCloseable> opened = new ArrayList<>();
@@ -193,16 +196,30 @@
 	}
 
 	// Guards against clients that exhaust the connections by opening many of them without
-	// sending any data.
+	// sending any data. None of these times out before the call and the assertions end.
 	@Test
 	void shouldServePeersWhileUnauthenticatedClientsHoldConnections() throws Exception {
+		this.fixture.close();
+		this.fixture = new WireFixture(WireFixture.LONG_HANDSHAKE);
 		Socket first = socket();
 		for (int i = 0; i < 200; i++) {
 			socket();
 		}
-		assertThat(this.fixture.call("peer")).isEqualTo("peer");
+		try (PeerLinks links = PeerLinks.open(WireFixture.self("entry", "c1"), WireFixture.PATIENT,
+				WireListener.NONE)) {
+			Answer answer = links.call(this.fixture.address(), Kind.FORWARD, "peer".getBytes(), CALL_TIMEOUT);
+			assertThat(new String(answer.payload())).isEqualTo("peer");
+		}
 		assertClosed(first);
 		WireFixture.awaitEvent(this.fixture.serverEvents, WireEvent.Type.TOO_MANY_CONNECTIONS);
+		assertThat(this.fixture.serverEvents).noneMatch((event) -> event.type() == WireEvent.Type.HANDSHAKE_TIMEOUT);
+	}
+
+	// Guards against clients that hold connections without end by not sending any data.
+	@Test
+	void shouldCloseConnectionsThatAreNotAuthenticatedInTime() throws Exception {
+		Socket socket = socket();
+		assertClosed(socket);
 		WireFixture.awaitEvent(this.fixture.serverEvents, WireEvent.Type.HANDSHAKE_TIMEOUT);
 	}
 
