--- a/redwingramp-wire/src/test/java/org/redwingramp/wire/WireFixture.java
+++ b/redwingramp-wire/src/test/java/org/redwingramp/wire/WireFixture.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import org.redwingramp.core.support.ReservedPorts;
+
 /**
  * A peer server and links that connect to it over the loopback interface. Records events
  * and one-way messages. Thread safe.
@@ -27,12 +29,24 @@
 	/** The events reported by the server. */
 	public final List<WireEvent> serverEvents = new CopyOnWriteArrayList<>();
 
+	/**
+	 * As {@link #SERVER}, but with half a minute for the authentication of a connection.
+	 */
+	public static final ServerSettings LONG_HANDSHAKE = new ServerSettings(5 * 1024 * 1024, 64, 32, 30_000, 10_000,
+			10_000);
+
+	/** Link settings with several seconds to open a connection. */
+	public static final LinkSettings PATIENT = new LinkSettings(1 << 20, 256, 8, 64, 5000, 100, 250, 3000, 15_000, 20,
+			500);
+
 	final List<WireEvent> linkEvents = new CopyOnWriteArrayList<>();
 
 	final BlockingQueue<String> received = new LinkedBlockingQueue<>();
 
 	final PeerLinks links;
 
+	private final ReservedPorts ports = ReservedPorts.reserve();
+
 	private PeerServer server;
 
 	/**
@@ -41,7 +55,8 @@
 	 * @throws IOException if the port can't be opened
 	 */
 	public WireFixture(ServerSettings settings) throws IOException {
-		this.server = PeerServer.open(loopback(0), self("gate", "c1"), this, settings, this.serverEvents::add);
+		this.server = PeerServer.open(this.ports.address(0), self("gate", "c1"), this, settings,
+				this.serverEvents::add);
 		this.links = PeerLinks.open(self("entry", "c1"), LinkSettings.DEFAULT, this.linkEvents::add);
 	}
 
@@ -81,9 +96,8 @@
 	}
 
 	void restart() throws IOException {
-		int port = this.server.address().getPort();
 		this.server.close();
-		this.server = PeerServer.open(loopback(port), self("gate", "c1"), this, SERVER, this.serverEvents::add);
+		this.server = PeerServer.open(this.ports.address(0), self("gate", "c1"), this, SERVER, this.serverEvents::add);
 	}
 
 	/**
@@ -144,9 +158,10 @@
 	}
 
 	@Override
-	public void close() {
+	public void close() throws IOException {
 		this.links.close();
 		this.server.close();
+		this.ports.close();
 	}
 
 }
