Send no grant to a target that is known to have started again

Change: a lease isn't renewed while a record of another incarnation of its owner waits for its commit, and a grant in the queue isn't sent once its lease has been replaced.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -407,6 +407,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether a grant that was decided on may still be sent. In a queue it may
+	 * outlast its lease, whose owner has started again, or whose range has a new fence.
+	 * @param lease the lease that the grant begins or renews
+	 * @return whether it may be sent
+	 */
+	public boolean mayGrant(RangeLease lease) {
+		return this.leases.current(lease) && !ownerChangePending(lease);
+	}
+
 	// Reports for how long keys had no owner if they were released for this one.
 	void moveEnded(RangeLease lease, long now) {
 		this.leases.endMove(lease).ifPresent((since) -> this.output.keysMoved(lease, now - since));
@@ -619,10 +629,13 @@
 	// Returns whether a proposed command takes the range away from its owner. Once it is
 	// committed, the next owner may hold the range, so the lease must not be renewed.
 	boolean ownerChangePending(RangeLease lease) {
+		Owner owner = lease.range().owner();
+		if (this.targets.startsAgain(owner)) {
+			return true;
+		}
 		if (this.pendingCommands.isEmpty()) {
 			return false;
 		}
-		Owner owner = lease.range().owner();
 		boolean reassigned = this.pendingAssignments.get(lease.service()) instanceof AssignKeys assign && assign.moves()
 			.stream()
 			.anyMatch((move) -> !move.owner().equals(owner) && move.keys().overlaps(lease.range().keys()));
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetRegister.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetRegister.java
@@ -32,6 +32,13 @@
 		return Optional.ofNullable(this.pending.get(name)).or(() -> this.state.target(name));
 	}
 
+	// Returns whether another incarnation of an owner's target waits to be committed.
+	boolean startsAgain(Owner owner) {
+		return Optional.ofNullable(this.pending.get(owner.target()))
+			.filter((target) -> target.born() != owner.born())
+			.isPresent();
+	}
+
 	// Returns the command that records the description of a target, or empty if the
 	// replicated state has it. A description that isn't applied yet is proposed again,
 	// since an acknowledgement has to wait for its commit.
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FakeFleet.java
@@ -106,6 +106,9 @@
 
 	int grants;
 
+	/** The lease of the last grant that was sent. */
+	RangeLease lastGranted;
+
 	/** The number of late grants that targets accepted. */
 	int appliedLate;
 
@@ -290,6 +293,7 @@
 			throw new IllegalStateException("no grant can be written for " + target.name());
 		}
 		this.grants++;
+		this.lastGranted = lease;
 		KeyRange keys = lease.range().keys();
 		long fence = lease.range().fence();
 		boolean delayed = this.delayNextGrant.remove(target.name()) || this.delayGrants.contains(target.name());
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
@@ -15,8 +15,10 @@
 import org.redwingramp.core.fleet.FleetCommand.RecordTarget;
 import org.redwingramp.core.fleet.FleetTarget.Stage;
 import org.redwingramp.core.ownership.KeyRange;
+import org.redwingramp.core.ownership.KeyReport;
 import org.redwingramp.core.ownership.OwnedRange;
 import org.redwingramp.core.ownership.Owner;
+import org.redwingramp.core.ownership.RangeLease;
 import org.redwingramp.core.traffic.GrantMode;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -468,6 +470,29 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against two owners of a key: a grant for the former incarnation of a target
+	 * reaches the present one, because its lease is renewed while the restart waits for
+	 * its commit, or because the grant has waited in a queue.
+	 */
+	@Test
+	void shouldGrantNothingToAnOwnerThatIsKnownToStartAgain() {
+		this.fleet.join("t-1", 1, "10.0.0.1:80");
+		this.fleet.advance(4000);
+		RangeLease lease = this.fleet.lastGranted;
+		assertThat(this.fleet.controller.mayGrant(lease)).isTrue();
+		FleetTarget restarted = new FleetTarget("t-1", 2, "s", "10.0.0.1:80", "d-3", 3, Stage.SERVING);
+		this.fleet.silent.add("t-1");
+		Optional<FleetCommand> record = this.fleet.controller
+			.heartbeat(new TargetHeartbeat(restarted, 3000, 1, KeyReport.EMPTY), this.fleet.now);
+		assertThat(this.fleet.controller.mayGrant(lease)).isFalse();
+		int before = this.fleet.grants;
+		this.fleet.advance(2500);
+		assertThat(this.fleet.grants).isEqualTo(before);
+		record.ifPresent(this.fleet::commit);
+		assertThat(this.fleet.controller.mayGrant(lease)).isFalse();
+	}
+
 	/**
 	 * Guards against two owners of a key: load balancing has a range released while a
 	 * grant of the former leader may arrive, and its owner starts again before it does.
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/ControlNode.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
@@ -727,15 +728,17 @@
 			GrantCall call = new GrantCall(target.name(), false, lease.range().keys().first(),
 					lease.range().keys().last(), lease.range().fence(),
 					LeaseTiming.DEFAULT.grantDurationNanos() / MILLISECOND, lease.handover());
-			send(target, call, via, (reply) -> activeController()
-				.ifPresent((controller) -> controller.grantReturned(lease, reply.outcome(), System.nanoTime())));
+			send(target, call, via,
+					() -> activeController().filter((controller) -> controller.mayGrant(lease)).isPresent(),
+					(reply) -> activeController().ifPresent(
+							(controller) -> controller.grantReturned(lease, reply.outcome(), System.nanoTime())));
 		}
 
 		@Override
 		public void release(RangeLease lease, FleetTarget target, Optional<String> via) {
 			GrantCall call = new GrantCall(target.name(), true, lease.range().keys().first(),
 					lease.range().keys().last(), lease.releaseFence(), 0, Optional.empty());
-			send(target, call, via, (reply) -> activeController().ifPresent((controller) -> controller
+			send(target, call, via, () -> true, (reply) -> activeController().ifPresent((controller) -> controller
 				.releaseReturned(lease, reply.outcome(), reply.handover(), System.nanoTime())));
 		}
 
@@ -766,10 +769,11 @@
 
 		// A call that can't be written has an outcome too; without it, the lease would
 		// wait for a reply and never be renewed or released.
-		private void send(FleetTarget target, GrantCall call, Optional<String> via, Consumer<GrantReply> receiver) {
+		private void send(FleetTarget target, GrantCall call, Optional<String> via, BooleanSupplier wanted,
+				Consumer<GrantReply> receiver) {
 			Consumer<GrantReply> reply = this.begunCalls.begin(call, receiver);
 			try {
-				trySend(target, call, via, reply);
+				trySend(target, call, via, wanted, reply);
 			}
 			catch (RuntimeException ex) {
 				workFailed("call target", target.name(), ex);
@@ -777,7 +781,8 @@
 			}
 		}
 
-		private void trySend(FleetTarget target, GrantCall call, Optional<String> via, Consumer<GrantReply> reply) {
+		private void trySend(FleetTarget target, GrantCall call, Optional<String> via, BooleanSupplier wanted,
+				Consumer<GrantReply> reply) {
 			Optional<EntrySession> session = via.flatMap(ControlNode.this.entries::session);
 			if (session.isPresent()) {
 				long number = session.get().relay(this.term, target.address(), call, reply);
@@ -785,7 +790,7 @@
 						() -> session.get().relayReplied(number, GrantReply.UNKNOWN));
 			}
 			else {
-				ControlNode.this.calls.send(target.address(), call, reply);
+				ControlNode.this.calls.send(target.address(), call, wanted, reply);
 			}
 		}
 
--- a/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/control/TargetCalls.java
@@ -113,6 +113,22 @@
 	 * @param reply receives the reply once
 	 */
 	public void send(String address, GrantCall call, long maxQueuedMillis, Consumer<GrantReply> reply) {
+		send(address, call, maxQueuedMillis, () -> true, reply);
+	}
+
+	/**
+	 * Sends a call as {@link #send(String, GrantCall, Consumer)} does.
+	 * @param address the target's address, {@code ip:port}
+	 * @param call the grant or release
+	 * @param wanted whether a grant is still to be sent when its turn comes
+	 * @param reply receives the reply once
+	 */
+	public void send(String address, GrantCall call, BooleanSupplier wanted, Consumer<GrantReply> reply) {
+		send(address, call, MAX_QUEUED_MILLIS, wanted, reply);
+	}
+
+	private void send(String address, GrantCall call, long maxQueuedMillis, BooleanSupplier wanted,
+			Consumer<GrantReply> reply) {
 		Optional<InetSocketAddress> parsed = TargetAddress.parse(address);
 		if (parsed.isEmpty()) {
 			this.loop.schedule(0, () -> reply.accept(GrantReply.NOT_SENT));
@@ -121,11 +137,11 @@
 		TargetQueue target = this.queuesByAddress.computeIfAbsent(address,
 				(key) -> new TargetQueue(new TargetConnections(this.loop, parsed.get(), this.responseMemory)));
 		if (call.release()) {
-			exchange(target, new QueuedGrant(call, System.currentTimeMillis(), maxQueuedMillis, reply),
+			exchange(target, new QueuedGrant(call, System.currentTimeMillis(), maxQueuedMillis, wanted, reply),
 					RELEASE_TIMEOUT_NANOS, reply);
 		}
 		else {
-			target.waitingGrants.add(new QueuedGrant(call, System.currentTimeMillis(), maxQueuedMillis, reply));
+			target.waitingGrants.add(new QueuedGrant(call, System.currentTimeMillis(), maxQueuedMillis, wanted, reply));
 			sendNextGrant(target);
 		}
 	}
@@ -135,8 +151,8 @@
 			return;
 		}
 		QueuedGrant grant = target.waitingGrants.poll();
-		if (grant.expired() || !this.mayGrant.getAsBoolean()) {
-			// Another leader may have assigned the keys to another target meanwhile.
+		if (grant.expired() || !this.mayGrant.getAsBoolean() || !grant.wanted().getAsBoolean()) {
+			// This leader or another one may have decided otherwise meanwhile.
 			this.loop.schedule(0, () -> grant.reply().accept(GrantReply.NOT_SENT));
 			sendNextGrant(target);
 			return;
@@ -278,9 +294,11 @@
 	 * @param call the call
 	 * @param queuedMillis the wall-clock time at which it was queued
 	 * @param maxQueuedMillis the longest time that it may wait
+	 * @param wanted whether it is still to be sent
 	 * @param reply receives the reply
 	 */
-	private record QueuedGrant(GrantCall call, long queuedMillis, long maxQueuedMillis, Consumer<GrantReply> reply) {
+	private record QueuedGrant(GrantCall call, long queuedMillis, long maxQueuedMillis, BooleanSupplier wanted,
+			Consumer<GrantReply> reply) {
 
 		boolean expired() {
 			return Math.abs(System.currentTimeMillis() - this.queuedMillis) > this.maxQueuedMillis;
--- a/redwingramp-node/src/test/java/org/redwingramp/node/control/TargetCallsTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/control/TargetCallsTests.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.BeforeAll;
@@ -68,6 +69,32 @@
 		assertThat(outcomes).containsExactly(GrantOutcome.UNKNOWN, GrantOutcome.NOT_SENT);
 	}
 
+	/**
+	 * Guards against a grant that is queued behind one without a response, and reaches
+	 * the next incarnation of the target although its lease has ended with the former
+	 * one.
+	 */
+	@Test
+	void shouldNotSendQueuedGrantThatIsNoLongerWanted() throws Exception {
+		List<GrantOutcome> outcomes = new ArrayList<>();
+		AtomicBoolean wanted = new AtomicBoolean(true);
+		try (ServerSocket unresponsiveTarget = new ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"))) {
+			String address = "127.0.0.1:" + unresponsiveTarget.getLocalPort();
+			EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
+			TargetCalls calls = new TargetCalls(loop, new TextDialect(), () -> true);
+			loop.schedule(0, () -> {
+				calls.send(address, grant(1), wanted::get, (reply) -> outcomes.add(reply.outcome()));
+				calls.send(address, grant(2), wanted::get, (reply) -> {
+					outcomes.add(reply.outcome());
+					loop.stop();
+				});
+				wanted.set(false);
+			});
+			loop.run();
+		}
+		assertThat(outcomes).containsExactly(GrantOutcome.UNKNOWN, GrantOutcome.NOT_SENT);
+	}
+
 	/**
 	 * Guards against keys that are assigned again while their owner works on them: it
 	 * confirmed a grant once more where the response to the release was due.
