Assign the first keys although targets become warm or cold meanwhile

Callers of a service without owners waited too long: the first keys are assigned once no target has joined or changed for two seconds, and since each record that a target has become warm or cold counted. Change: only a new incarnation or another stage counts. FleetControllerTests.shouldAssignTheFirstKeysWhileATargetBecomesColdAndWarm.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -321,8 +321,9 @@
 		this.grantModes.applied(command);
 		if (command instanceof RecordTarget record) {
 			quarantineUnknownOwners(record.target(), now);
-			this.healths.recorded(record.target(), now);
-			this.assigner.targetRecorded(now);
+			if (this.healths.recorded(record.target(), now)) {
+				this.assigner.targetChanged(now);
+			}
 			this.viewChanges++;
 		}
 		else if (command instanceof ForgetTarget forget && this.state.target(forget.owner().target()).isEmpty()) {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/KeyAssigner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/KeyAssigner.java
@@ -97,8 +97,8 @@
 		this.loadByService.values().forEach((load) -> load.decay(now));
 	}
 
-	// Takes note that a target has joined or changed.
-	void targetRecorded(long now) {
+	// Takes note that a target has joined or its stage has changed.
+	void targetChanged(long now) {
 		this.lastTargetChangeNanos = now;
 	}
 
@@ -301,7 +301,8 @@
 	// Returns whether a target that is only assumed to be cold was warm at an earlier
 	// leader, since it owns keys, which are assigned to warm targets only.
 	private boolean wasWarm(FleetTarget target, TargetHealth health) {
-		return health.coldAssumed() && !this.state.keys(target.service()).rangesOf(target.owner()).isEmpty();
+		return health.coldAssumed()
+				&& !this.state.keys(target.service()).rangesOf(target.owner()).isEmpty();
 	}
 
 	private KeyLoad loadOf(String service, long now) {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.redwingramp.core.fleet.FleetTarget.Stage;
+
 /**
  * Health of one incarnation of a target, as the control leader observes it: heartbeats,
  * replies to calls, and the responses that entry instances report. Not thread safe.
@@ -110,6 +112,9 @@
 
 	private long refusesUntilNanos;
 
+	// The stage that was recorded last, empty for an incarnation that isn't recorded.
+	private Optional<Stage> recordedStage = Optional.empty();
+
 	private double slowness = 1;
 
 	// Returns the health of an incarnation that an earlier leader recorded. It is assumed
@@ -117,6 +122,7 @@
 	static TargetHealth adopted(FleetTarget target, long now) {
 		TargetHealth health = new TargetHealth(target.born(), OptionalLong.empty(), now);
 		health.recordedSequence = target.warmthSequence();
+		health.recordedStage = Optional.of(target.stage());
 		if (target.warm()) {
 			health.warmAssumed = true;
 			health.coldUntilNanos = now;
@@ -153,6 +159,14 @@
 		return this.born;
 	}
 
+	// Follows the record of the incarnation. Returns whether it is the first one or the
+	// stage has changed.
+	boolean recordStage(Stage stage) {
+		boolean changed = !this.recordedStage.equals(Optional.of(stage));
+		this.recordedStage = Optional.of(stage);
+		return changed;
+	}
+
 	// Returns whether something observed at the given time concerns an earlier
 	// incarnation.
 	boolean joinedAfter(long observedNanos) {
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealths.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealths.java
@@ -119,12 +119,14 @@
 				health.coldLeftMillis(now), "may-precede-return", health.mayPrecedeReturn(now));
 	}
 
-	// Follows a command that recorded a target, possibly a new incarnation of it.
-	void recorded(FleetTarget target, long now) {
+	// Follows a command that recorded a target, possibly a new incarnation of it. Returns
+	// whether the target has joined or its stage has changed.
+	boolean recorded(FleetTarget target, long now) {
 		TargetHealth health = this.healthByTarget.get(target.name());
 		if (health == null || health.born() != target.born()) {
 			this.healthByTarget.put(target.name(), unheard(target, now));
 		}
+		return this.healthByTarget.get(target.name()).recordStage(target.stage());
 	}
 
 	void forget(String target) {
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -516,6 +516,20 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against a service without keys that waits for owners as long as some target
+	 * becomes warm or cold.
+	 */
+	@Test
+	void shouldAssignTheFirstKeysWhileATargetBecomesColdAndWarm() {
+		FleetTarget unsteady = new FleetTarget("t-9", 1, "s", "10.0.0.9:80", "d", 3, Stage.SERVING);
+		for (int i = 0; i < 4; i++) {
+			this.fleet.sendHeartbeat(unsteady, 700);
+			this.fleet.advance(1000);
+		}
+		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
 	@Test
 	void shouldNotAssignKeysToAColdTarget() {
 		awaitInitialAssignment();
