Assign no further keys to a target that is recorded as cold

A new leader gave more keys to a target that it had not heard and that owned some, since targets that own keys were warm once. That it has become cold is recorded now. FleetControllerTests.shouldAssignNoFurtherKeysToATargetRecordedAsCold.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/KeyAssigner.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/KeyAssigner.java
@@ -299,9 +299,11 @@
 	}
 
 	// Returns whether a target that is only assumed to be cold was warm at an earlier
-	// leader, since it owns keys, which are assigned to warm targets only.
+	// leader, since it owns keys, which are assigned to warm targets only, and nothing
+	// else
+	// is recorded.
 	private boolean wasWarm(FleetTarget target, TargetHealth health) {
-		return health.coldAssumed()
+		return health.coldAssumed() && !health.coldRecorded()
 				&& !this.state.keys(target.service()).rangesOf(target.owner()).isEmpty();
 	}
 
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/FleetControllerTests.java
@@ -530,6 +530,29 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/** Guards against more keys for a target that was warm and is recorded as cold. */
+	@Test
+	void shouldAssignNoFurtherKeysToATargetRecordedAsCold() {
+		awaitInitialAssignment();
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-1").orElseThrow(), 60_000);
+		long before = keysOf("t-1");
+		this.fleet.startLeadership();
+		this.fleet.silent.add("t-1");
+		this.fleet.sendHeartbeat(this.fleet.state.target("t-3").orElseThrow().with(Stage.DRAINING), 0);
+		this.fleet.advance(2500);
+		assertThat(this.fleet.owners()).doesNotContain("t-3");
+		assertThat(keysOf("t-1")).isEqualTo(before);
+	}
+
+	private long keysOf(String name) {
+		return this.fleet.controller.viewKeys()
+			.get("s")
+			.stream()
+			.filter((range) -> range.owner().equals(name))
+			.mapToLong((range) -> range.last() - range.first() + 1L)
+			.sum();
+	}
+
 	@Test
 	void shouldNotAssignKeysToAColdTarget() {
 		awaitInitialAssignment();
