Take over only a recent pause of a former incarnation

A target that had asked for a pause of minutes and started again was avoided by that entry instance until the pause ended, though its new incarnation may know nothing of it. A pause is taken over if it was stated within the last six seconds, in which a restart becomes known. TargetAvailabilityTests.shouldTakeOverOnlyARecentPause.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/TargetAvailability.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/TargetAvailability.java
@@ -14,8 +14,16 @@
 	/** Maximum time for which a target is spared, whatever it asks for. */
 	public static final long MAX_PAUSE_MILLIS = 600_000;
 
+	/**
+	 * Maximum age of a pause that the next incarnation of the target takes over. A target
+	 * that starts again is heard of sooner, or it is lost.
+	 */
+	private static final long MAX_KEPT_PAUSE_AGE_NANOS = 6_000_000_000L;
+
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	private long pauseStatedNanos;
+
 	private OptionalLong leavingSinceNanos = OptionalLong.empty();
 
 	private OptionalLong pausedUntilNanos = OptionalLong.empty();
@@ -40,6 +48,7 @@
 	 * @param now the monotonic time in nanoseconds
 	 */
 	public void pauses(long millis, long now) {
+		this.pauseStatedNanos = now;
 		long until = now + Math.min(millis, MAX_PAUSE_MILLIS) * NANOS_PER_MILLI;
 		if (this.pausedUntilNanos.isEmpty() || until - this.pausedUntilNanos.getAsLong() > 0) {
 			this.pausedUntilNanos = OptionalLong.of(until);
@@ -47,13 +56,18 @@
 	}
 
 	/**
-	 * Takes over the pause that was recorded for the former incarnation of the target.
-	 * The present one may have stated it, since its responses arrive before anybody tells
-	 * that it has started. That the former one leaves says nothing about it.
+	 * Takes over the pause that was recorded a short time ago for the former incarnation
+	 * of the target. The present one may have stated it, since its responses arrive
+	 * before anybody tells that it has started. That the former one leaves says nothing
+	 * about it.
 	 * @param former the availability of the former incarnation
+	 * @param now the monotonic time in nanoseconds
 	 */
-	public void keepPauseOf(TargetAvailability former) {
-		this.pausedUntilNanos = former.pausedUntilNanos;
+	public void keepRecentPauseOf(TargetAvailability former, long now) {
+		if (now - former.pauseStatedNanos < MAX_KEPT_PAUSE_AGE_NANOS) {
+			this.pauseStatedNanos = former.pauseStatedNanos;
+			this.pausedUntilNanos = former.pausedUntilNanos;
+		}
 	}
 
 	/**
--- a/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/TargetAvailabilityTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/dispatch/TargetAvailabilityTests.java
@@ -35,6 +35,19 @@
 		assertThat(this.availability.pauseLeftMillis(START + 3000 * MS)).isZero();
 	}
 
+	/**
+	 * Guards against a target that is avoided for long because of a former incarnation.
+	 */
+	@Test
+	void shouldTakeOverOnlyARecentPause() {
+		this.availability.pauses(60_000, START);
+		TargetAvailability next = new TargetAvailability();
+		next.keepRecentPauseOf(this.availability, START + 6000 * MS);
+		assertThat(next.pauseLeftMillis(START + 6000 * MS)).isZero();
+		next.keepRecentPauseOf(this.availability, START + 5999 * MS);
+		assertThat(next.pauseLeftMillis(START + 6000 * MS)).isEqualTo(54_000);
+	}
+
 	@Test
 	void shouldBoundAPause() {
 		this.availability.pauses(Long.MAX_VALUE, 0);
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/EntryView.java
@@ -119,8 +119,12 @@
 	}
 
 	private EntryTarget create(ViewTarget target, InetSocketAddress address, long now) {
-		return new EntryTarget(target, new TargetConnections(this.loop, address, this.responseMemory),
+		EntryTarget created = new EntryTarget(target, new TargetConnections(this.loop, address, this.responseMemory),
 				new TargetTracker(target.slots(), INITIAL_SERVICE_MILLIS, now), now);
+		Optional.ofNullable(this.targets.get(target.name()))
+			.filter((former) -> former.view().address().equals(target.address()))
+			.ifPresent((former) -> created.availability().keepRecentPauseOf(former.availability(), now));
+		return created;
 	}
 
 	private void commit(FleetView update, ViewPreparation next, long now) {
--- a/redwingramp-node/src/main/java/org/redwingramp/node/entry/ViewPreparation.java
+++ b/redwingramp-node/src/main/java/org/redwingramp/node/entry/ViewPreparation.java
@@ -76,17 +76,9 @@
 		InetSocketAddress address = TargetAddress
 			.parse(Objects.requireNonNull(view.address(), "the target has no address"))
 			.orElseThrow(() -> new IllegalArgumentException("no connection can be opened to " + view.address()));
-		Optional<EntryTarget> atAddress = present
-			.filter((existing) -> existing.view().address().equals(view.address()));
-		return new PreparedTarget(view, atAddress.filter((existing) -> existing.view().born() == view.born())
-			.orElseGet(() -> createNext(view, address, atAddress, factory)));
-	}
-
-	private static EntryTarget createNext(ViewTarget view, InetSocketAddress address, Optional<EntryTarget> former,
-			TargetFactory factory) {
-		EntryTarget created = factory.create(view, address);
-		former.ifPresent((incarnation) -> created.availability().keepPauseOf(incarnation.availability()));
-		return created;
+		return new PreparedTarget(view, present.filter(
+				(existing) -> existing.view().address().equals(view.address()) && existing.view().born() == view.born())
+			.orElseGet(() -> factory.create(view, address)));
 	}
 
 	// Prepares the owners of each service with changes. If a range can't be used, the
