Test five more guards of leases

Removed one at a time, these were missed by all core tests named after heartbeats, late grants, leases, calls and fleets: that released keys aren't held for their former owner, that a lease isn't due for a call while another is in flight (grants and releases), that a range with a new fence isn't served before a grant is confirmed, and that a part of a range remembers that the whole was granted. Each is caught since.

--- a/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
@@ -311,6 +311,59 @@
 		assertThat(this.table.assignable("s", KeyRange.ALL, lease.endNanos() + 1)).isTrue();
 	}
 
+	/**
+	 * Guards against keys that wait for the end of a lease which their owner released
+	 * before it started again.
+	 */
+	@Test
+	void shouldNotQuarantineARangeThatItsFormerOwnerHasReleased() {
+		RangeLease lease = confirmedLease();
+		this.table.releaseSent(lease, 2, START + MS);
+		this.table.releaseReturned(lease, true, Optional.empty(), START + MS);
+		this.table.quarantine(lease, false, START + 2 * MS);
+		assertThat(this.table.assignable("s", KeyRange.ALL, START + 2 * MS)).isTrue();
+	}
+
+	/** Guards against two calls for a range at a time, of which the later may win. */
+	@Test
+	void shouldNotBeDueForACallWhileAnotherIsInFlight() {
+		RangeLease lease = confirmedLease();
+		long muchLater = START + 60_000 * MS;
+		this.table.grantSent(lease, START + MS);
+		assertThat(this.table.grantDue(lease, muchLater)).isFalse();
+		this.table.grantReturned(lease, GrantOutcome.CONFIRMED, START + 2 * MS);
+		assertThat(this.table.grantDue(lease, muchLater)).isTrue();
+		this.table.releaseSent(lease, 2, START + 3 * MS);
+		assertThat(this.table.releaseDue(lease, muchLater)).isFalse();
+	}
+
+	/**
+	 * Guards against requests for keys that their owner doesn't hold, because it has
+	 * confirmed no grant of the former fence either.
+	 */
+	@Test
+	void shouldNotServeARangeWithNewFenceWhoseFormerGrantIsUnconfirmed() {
+		RangeLease lease = newLease();
+		this.table.grantSent(lease, START);
+		this.table.grantReturned(lease, GrantOutcome.UNKNOWN, START + MS);
+		this.keys.assign(new OwnedRange(KeyRange.ALL, OWNER, 2));
+		this.table.applyAssignment("s", this.keys, START + 2 * MS);
+		assertThat(this.table.of("s")).hasSize(1).noneMatch(RangeLease::serving);
+	}
+
+	/**
+	 * Guards against two owners of a key: a part of a range is released under the fence
+	 * of an unanswered grant of the whole.
+	 */
+	@Test
+	void shouldNotTakeAFenceForUnknownToTheOwnerOfAPartOnceTheWholeWasGranted() {
+		RangeLease lease = newLease();
+		this.table.grantSent(lease, START);
+		RangeLease part = this.table.split(lease, new KeyRange(100, 199));
+		assertThat(part.lateGrantsRefusedAfter(1)).isFalse();
+		assertThat(part.lateGrantsRefusedAfter(2)).isTrue();
+	}
+
 	private RangeLease newLease() {
 		this.table.applyAssignment("s", this.keys, START);
 		return this.table.of("s").get(0);
