Test what a part of a lease takes over from the whole

Four more guards of RangeLease.part were missed by all core tests when removed one at a time: the count of refusals, the time without an answer, the requested release and whether a grant was confirmed. Each is caught since.

--- a/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/ownership/LeaseTableTests.java
@@ -364,6 +364,31 @@
 		assertThat(part.lateGrantsRefusedAfter(2)).isTrue();
 	}
 
+	/**
+	 * Guards against a part of a range that is served although the whole wasn't, isn't
+	 * released although that was requested, or is never given a higher fence.
+	 */
+	@Test
+	void shouldKnowOfAPartWhatIsKnownOfTheWhole() {
+		RangeLease whole = newLease();
+		this.table.grantSent(whole, START);
+		this.table.grantReturned(whole, GrantOutcome.UNKNOWN, START + MS);
+		this.table.requestRelease(whole, START + MS);
+		RangeLease part = this.table.split(whole, new KeyRange(100, 199));
+		assertThat(part.serving()).isFalse();
+		assertThat(part.releaseRequested()).isTrue();
+		assertThat(part.unansweredFor(1000 * MS, START + 1000 * MS)).isTrue();
+	}
+
+	/** Guards against commands without end for parts of a range that is refused. */
+	@Test
+	void shouldCountTheRefusalsOfTheWholeForAPart() {
+		RangeLease whole = newLease();
+		this.table.grantSent(whole, START);
+		this.table.grantReturned(whole, GrantOutcome.HIGHER_FENCE_SEEN, START + MS);
+		assertThat(this.table.split(whole, new KeyRange(100, 199)).refusals()).isOne();
+	}
+
 	private RangeLease newLease() {
 		this.table.applyAssignment("s", this.keys, START);
 		return this.table.of("s").get(0);
