Test that no call is sent while a command may rule calls out

The guard in GrantModes.byHeartbeat was known by reading only: without it, no core test failed. With it removed, the new test sees grants by call before the command is applied.

--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
@@ -512,6 +512,26 @@
 		assertThat(this.fleet.servedKeys()).isEqualTo(KeyRange.KEYS);
 	}
 
+	/**
+	 * Guards against two owners of a key: a call is sent while the command that rules out
+	 * calls has no result, since the service was switched back meanwhile.
+	 */
+	@Test
+	void shouldSendNoCallWhileACommandThatRulesThemOutMayBeApplied() {
+		awaitInitialAssignment();
+		this.fleet.holdCommits = true;
+		this.fleet.configure(GrantMode.HEARTBEAT);
+		advanceUntilDecision("grant-mode");
+		this.fleet.configure(GrantMode.CALL);
+		int before = this.fleet.grants;
+		this.fleet.advance(1000);
+		assertThat(this.fleet.grants).isEqualTo(before);
+		this.fleet.commitAllHeld();
+		this.fleet.advance(2000);
+		assertThat(this.fleet.grants).isGreaterThan(before);
+		assertThat(this.fleet.heldKeys()).isEqualTo(KeyRange.KEYS);
+	}
+
 	/**
 	 * Guards against two owners of a key: a part of a range gets a new fence after a
 	 * command that merged the range with its neighbour, and its owner, which can't be
