--- a/redwingramp-node/src/test/java/org/redwingramp/node/http/KilledSenderTests.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/http/KilledSenderTests.java
@@ -7,13 +7,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
-import java.util.List;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-import org.redwingramp.node.loop.EventLoop;
-
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -22,12 +19,8 @@
 @Timeout(20)
 class KilledSenderTests {
 
-	private static final int BODY_BYTES = 150_000;
-
 	private static final int RECEIVE_BUFFER_BYTES = 4096;
 
-	private static final long MAX_CALL_NANOS = 15_000_000_000L;
-
 	/** Exceeds the time in which the sender passes the request to its kernel. */
 	private static final int MAX_WRITE_MILLIS = 500;
 
@@ -44,7 +37,7 @@
 			try (Socket target = server.accept()) {
 				Thread.sleep(MAX_WRITE_MILLIS);
 				sender.destroyForcibly().waitFor();
-				assertThat(countBytes(target.getInputStream())).isPositive().isLessThan(BODY_BYTES);
+				assertThat(countBytes(target.getInputStream())).isPositive().isLessThan(LargeRequestSender.BODY_BYTES);
 			}
 			finally {
 				sender.destroyForcibly();
@@ -54,7 +47,7 @@
 
 	private static Process startSender(int port) throws IOException {
 		return new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-				System.getProperty("java.class.path"), Sender.class.getName(), Integer.toString(port))
+				System.getProperty("java.class.path"), LargeRequestSender.class.getName(), Integer.toString(port))
 			.redirectErrorStream(true)
 			.redirectOutput(ProcessBuilder.Redirect.INHERIT)
 			.start();
@@ -76,25 +69,4 @@
 		return total;
 	}
 
-	/** A process that sends one large request and waits for its response. */
-	static final class Sender {
-
-		private Sender() {
-		}
-
-		public static void main(String[] arguments) throws IOException {
-			EventLoop loop = new EventLoop((failure) -> failure.printStackTrace());
-			InetSocketAddress target = new InetSocketAddress(InetAddress.getLoopbackAddress(),
-					Integer.parseInt(arguments[0]));
-			HttpRequest request = new HttpRequest("POST", "/",
-					List.of(new Header("Host", "h"), new Header("Content-Length", Integer.toString(BODY_BYTES))),
-					new byte[BODY_BYTES]);
-			loop.schedule(0, () -> new TargetConnections(loop, target, BodyMemoryLimit.forTargetResponses())
-				.send(request, MAX_CALL_NANOS, new OutcomeRecorder()));
-			loop.schedule(MAX_CALL_NANOS, loop::stop);
-			loop.run();
-		}
-
-	}
-
 }
