Answer a permit request in the fixture before a test sees it

TargetRateLimitTests.shouldAskAgainIfTheTargetBecomesColdBeforeThePermitIsUsable failed with [] instead of [20.0]: the fixture put the rate into the queue on which the test waits and decided on the reply afterwards, when the test had already switched to refusals.

--- a/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
+++ b/redwingramp-node/src/test/java/org/redwingramp/node/entry/EntryFixture.java
@@ -268,9 +268,10 @@
 			this.relayReplies.add(reply.reply());
 		}
 		else if (message instanceof LinkMessage.PermitRequest request) {
-			this.permitRates.add(request.perSecond());
 			this.grantsPermits.ifPresent((granted) -> link.send(new LinkMessage.PermitReply(request.number(), granted,
 					granted ? this.permitDelayMillis : REFUSED_DELAY_MILLIS)));
+			// A test that sees the question may change what the next reply is.
+			this.permitRates.add(request.perSecond());
 		}
 		else if (message instanceof LinkMessage.Report report) {
 			this.observations.addAll(report.report().observations());
