--- a/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/dispatch/ColdPeriod.java
@@ -53,8 +53,9 @@
 			stated(leftMillis, viewTerm, now);
 			return;
 		}
-		// While it got no requests, it may have become cold. What was recorded is later
-		// than a statement that it is warm, unless the record of that was lost.
+		// While it got no requests, it may have become cold. A record that it is cold is
+		// usually later than the statement that it is warm; if it isn't, the target is
+		// limited until its next heartbeat.
 		if (returns || (recorded && !cold(now))) {
 			forget();
 		}
--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/TargetHealth.java
@@ -136,8 +136,9 @@
 		return new TargetHealth(born, OptionalLong.of(now), now);
 	}
 
-	// Records the first heartbeat of an incarnation that no leader has recorded. However
-	// late it is, none before it shows that.
+	// Records the first heartbeat of an incarnation that no leader has recorded. Without
+	// an
+	// earlier one, nothing shows that it was sent after the last return of the domain.
 	void recordFirstHeartbeat(long sequence, long coldLeftNanos, long now) {
 		recordHeartbeat(sequence, coldLeftNanos, now);
 		this.coldUntilNanos = Math.max(this.domainReturnColdUntilNanos, now + coldLeftNanos);
