--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdTargetFloodTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/ColdTargetFloodTests.java
@@ -37,12 +37,7 @@
 	 */
 	@Test
 	void shouldNotFloodColdTargets() {
-		long first = Long.getLong("cold-flood.first", 0);
-		List<String> failures = LongStream.range(first, first + Long.getLong("cold-flood.seeds", 150))
-			.mapToObj((seed) -> failureOf(seed, false))
-			.filter((failure) -> !failure.isEmpty())
-			.toList();
-		assertThat(failures).as("%d seeds fail", failures.size()).isEmpty();
+		checkRuns(false);
 	}
 
 	/**
@@ -51,12 +46,7 @@
 	 */
 	@Test
 	void shouldNotFloodColdTargetsAfterALossOfAllInstances() {
-		long first = Long.getLong("cold-flood.first", 0);
-		List<String> failures = LongStream.range(first, first + Long.getLong("cold-flood.seeds", 150))
-			.mapToObj((seed) -> failureOf(seed, true))
-			.filter((failure) -> !failure.isEmpty())
-			.toList();
-		assertThat(failures).as("%d seeds fail", failures.size()).isEmpty();
+		checkRuns(true);
 	}
 
 	/**
@@ -92,6 +82,15 @@
 		});
 	}
 
+	private static void checkRuns(boolean losses) {
+		long first = Long.getLong("cold-flood.first", 0);
+		List<String> failures = LongStream.range(first, first + Long.getLong("cold-flood.seeds", 150))
+			.mapToObj((seed) -> failureOf(seed, losses))
+			.filter((failure) -> !failure.isEmpty())
+			.toList();
+		assertThat(failures).as("%d seeds fail", failures.size()).isEmpty();
+	}
+
 	// Returns the seed and the reason for which its run failed, empty if it passed.
 	private static String failureOf(long seed, boolean losses) {
 		List<String> trace = new ArrayList<>();
