Don't count a withheld grant as an unanswered call

Cause, by reading: since a grant in the queue is withheld if its lease has a new fence, and its outcome NOT_SENT counted as a call that the target didn't answer. Until its next heartbeat or answer the target was suspect, so its leases weren't renewed directly and it got no keys. A target has several ranges and ranges are merged all the time, so grants wait in the queue often. Change: NOT_SENT of a grant that may not be sent says nothing of the target. LateGrantTests.shouldNotSuspectATargetBecauseAGrantWasWithheld failed before; all tests of the core pass.

--- a/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
+++ b/redwingramp-core/src/main/java/org/redwingramp/core/fleet/FleetController.java
@@ -389,7 +389,10 @@
 		boolean serving = lease.serving();
 		String formerOutcome = lastOutcome(lease);
 		this.leases.grantReturned(lease, outcome, now);
-		recordCall(lease, outcome == GrantOutcome.CONFIRMED || outcome == GrantOutcome.HIGHER_FENCE_SEEN, now);
+		// A grant that was withheld says nothing about the target.
+		if (outcome != GrantOutcome.NOT_SENT || mayGrant(lease)) {
+			recordCall(lease, outcome == GrantOutcome.CONFIRMED || outcome == GrantOutcome.HIGHER_FENCE_SEEN, now);
+		}
 		forgetIfReplaced(lease.range().owner(), outcome);
 		if (lease.refusals() >= CallDelivery.MAX_REFUSALS) {
 			health(lease.range().owner(), now).ifPresent((health) -> health.recordRefusals(now));
--- a/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
+++ b/redwingramp-core/src/test/java/org/redwingramp/core/fleet/LateGrantTests.java
@@ -14,6 +14,7 @@
 import org.redwingramp.core.fleet.FleetCommand.Move;
 import org.redwingramp.core.fleet.FleetCommand.RecordTarget;
 import org.redwingramp.core.fleet.FleetTarget.Stage;
+import org.redwingramp.core.ownership.GrantOutcome;
 import org.redwingramp.core.ownership.KeyRange;
 import org.redwingramp.core.ownership.KeyReport;
 import org.redwingramp.core.ownership.OwnedRange;
@@ -493,6 +494,21 @@
 		assertThat(this.fleet.controller.mayGrant(lease)).isFalse();
 	}
 
+	/**
+	 * Guards against a target that counts as unreachable because a grant for it was
+	 * withheld whose lease had a new fence by then.
+	 */
+	@Test
+	void shouldNotSuspectATargetBecauseAGrantWasWithheld() {
+		awaitInitialAssignment();
+		RangeLease lease = this.fleet.lastGranted;
+		this.fleet.commit(new AssignKeys("s", List.of(new Move(lease.range().keys(), lease.range().owner()))));
+		this.fleet.decisions.clear();
+		this.fleet.controller.grantReturned(lease, GrantOutcome.NOT_SENT, this.fleet.now);
+		assertThat(this.fleet.controller.mayGrant(lease)).isFalse();
+		assertThat(this.fleet.decisions).doesNotContain("target-contact");
+	}
+
 	/**
 	 * Guards against two owners of a key: load balancing has a range released while a
 	 * grant of the former leader may arrive, and its owner starts again before it does.
